--- /dev/null
+++ b/cmake/Package.cmake
@@ -0,0 +1,46 @@
+# Warnings for first-party code; generated and third-party code is built without them.
+set(SISKINSPREAD_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion)
+
+add_library(siskinspread_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
+
+# siskinspread_package(NAME [LINK targets...])
+#
+# Builds siskinspread_NAME from src/*.cpp with the public headers in include/, and, where tests/*Test.cpp exist, the
+# test program NAME_tests. A test file whose name ends in ThreadTest.cpp starts threads: it goes to NAME_thread_tests,
+# labelled "threads", which CI also runs under ThreadSanitizer.
+function(siskinspread_package NAME)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  set(target siskinspread_${NAME})
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+  if(sources)
+    add_library(${target} STATIC ${sources})
+    target_include_directories(${target} PUBLIC include PRIVATE src)
+    target_link_libraries(${target} PUBLIC ${ARG_LINK})
+    target_compile_options(${target} PRIVATE ${SISKINSPREAD_WARNINGS})
+  else()
+    add_library(${target} INTERFACE)
+    target_include_directories(${target} INTERFACE include)
+    target_link_libraries(${target} INTERFACE ${ARG_LINK})
+  endif()
+
+  file(GLOB tests CONFIGURE_DEPENDS tests/*Test.cpp)
+  set(thread_tests ${tests})
+  list(FILTER tests EXCLUDE REGEX "ThreadTest\\.cpp$")
+  list(FILTER thread_tests INCLUDE REGEX "ThreadTest\\.cpp$")
+  if(tests)
+    siskinspread_test_program(${NAME}_tests "" ${target} ${tests})
+  endif()
+  if(thread_tests)
+    siskinspread_test_program(${NAME}_thread_tests "threads" ${target} ${thread_tests})
+  endif()
+endfunction()
+
+# siskinspread_test_program(NAME LABEL LIBRARY sources...)
+function(siskinspread_test_program NAME LABEL LIBRARY)
+  add_executable(${NAME} ${ARGN})
+  target_link_libraries(${NAME} PRIVATE ${LIBRARY} siskinspread_test_main ${RAPIDCHECK_LIBRARY})
+  target_compile_options(${NAME} PRIVATE ${SISKINSPREAD_WARNINGS})
+  add_test(NAME ${NAME} COMMAND ${NAME})
+  set_tests_properties(${NAME} PROPERTIES
+    ENVIRONMENT "RC_PARAMS=seed=1 max_success=1000" LABELS "${LABEL}" TIMEOUT 300)
+endfunction()
