--- a/packages/common/include/siskinspread/BoundedRing.h
+++ b/packages/common/include/siskinspread/BoundedRing.h
@@ -1,24 +1,32 @@
 #pragma once
 
-#include <boost/lockfree/queue.hpp>
+#include <boost/lockfree/spsc_queue.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <utility>
 
 namespace siskinspread {
 
 /**
- * Bounded queue of owned messages between threads, many producers to one or more consumers.
+ * Bounded queue of owned messages from one thread to another.
  *
- * Thread safety: tryPush and tryPop may be called from any thread at once. A full ring refuses the message and
- * leaves it with the caller, who counts the refusal; nothing is dropped in silence.
+ * Thread safety: one thread calls tryPush and one thread calls tryPop; they may be different threads. A full ring
+ * refuses the message and leaves it with the caller, who counts the refusal; nothing is dropped in silence. There is
+ * one ring for each pair of threads rather than one shared by several producers: the multi-producer queue of
+ * Boost.Lockfree builds its nodes with plain writes, which ThreadSanitizer reports.
  */
 template <typename Message>
 class BoundedRing {
 public:
-    /** @param capacity the number of messages held at most, 1 to 65534. */
-    explicit BoundedRing(size_t capacity)
+    /**
+     * @param capacity the number of messages held at most, above zero.
+     * @param wakeConsumer called on the producer's thread after each push; must not block.
+     */
+    explicit BoundedRing(size_t capacity, std::function<void()> wakeConsumer = {})
         : m_queue(capacity)
+        , m_wakeConsumer(std::move(wakeConsumer))
     {
     }
 
@@ -30,13 +38,16 @@
         while (tryPop()) { }
     }
 
-    /** @return false when the ring is full; `message` is then unchanged. */
+    /** @return false when the ring is full; `message` is then unchanged, and otherwise null. */
     bool tryPush(std::unique_ptr<Message>& message)
     {
-        if (!m_queue.bounded_push(message.get())) {
+        if (!m_queue.push(message.get())) {
             return false;
         }
         static_cast<void>(message.release()); // owned by the ring from here on
+        if (m_wakeConsumer) {
+            m_wakeConsumer();
+        }
         return true;
     }
 
@@ -48,7 +59,8 @@
     }
 
 private:
-    boost::lockfree::queue<Message*> m_queue;
+    boost::lockfree::spsc_queue<Message*> m_queue;
+    std::function<void()> m_wakeConsumer;
 };
 
 } // namespace siskinspread
