--- /dev/null
+++ b/packages/decisions/src/PoolView.cpp
@@ -0,0 +1,171 @@
+#include "siskinspread/PoolView.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr uint32_t sampleCeiling = 1000;
+
+    void addSample(LatencyMean& mean, const PoolOptions& options, std::chrono::microseconds latency, MonotonicTime now)
+    {
+        if (mean.samples > 0 && now - mean.lastAt > options.latencyLifetime) {
+            mean = {};
+        }
+        const double gain = std::max(options.latencyGain, 1.0 / (mean.samples + 1));
+        const auto step = std::chrono::duration<double, std::micro>(latency - mean.mean) * gain;
+        mean.mean += std::chrono::duration_cast<std::chrono::microseconds>(step);
+        mean.samples = std::min(mean.samples + 1, sampleCeiling);
+        mean.lastAt = now;
+    }
+
+    bool isUsable(const LatencyMean& mean, const PoolOptions& options, MonotonicTime now)
+    {
+        return mean.samples >= options.minimumSamples && now - mean.lastAt <= options.latencyLifetime;
+    }
+
+    bool isFresh(const PoolView& view, const BackendServerView& server, MonotonicTime now)
+    {
+        return server.report && now - server.report->sampledAt <= view.options.reportLifetime;
+    }
+
+    double slowStartShare(const PoolView& view, const BackendServerView& server, MonotonicTime now)
+    {
+        const std::chrono::duration<double> age = now - server.liveSince;
+        const double part = age / std::chrono::duration<double>(view.options.slowStart);
+        return std::clamp(part, view.options.slowStartFloor, 1.0);
+    }
+
+    std::optional<std::chrono::microseconds> medianBetweenTokens(const PoolView& view, MonotonicTime now)
+    {
+        std::vector<std::chrono::microseconds> means;
+        for (const BackendServerView& server : view.servers) {
+            if (server.status == BackendStatus::Live && isUsable(server.betweenTokens, view.options, now)) {
+                means.push_back(server.betweenTokens.mean);
+            }
+        }
+        if (means.empty()) {
+            return std::nullopt;
+        }
+        const auto middle = means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+        std::nth_element(means.begin(), middle, means.end());
+        return *middle;
+    }
+
+} // namespace
+
+size_t upsertBackendServer(PoolView& view, const BackendServerDescription& description)
+{
+    const auto [position, inserted] = view.indexByName.try_emplace(description.name, view.servers.size());
+    if (inserted) {
+        view.servers.emplace_back();
+        view.servers.back().nameHash = XXH3_64bits(description.name.data(), description.name.size());
+    }
+    view.servers[position->second].description = description;
+    return position->second;
+}
+
+BackendServerView* findBackendServer(PoolView& view, std::string_view name)
+{
+    const auto position = view.indexByName.find(std::string(name));
+    return position == view.indexByName.end() ? nullptr : &view.servers[position->second];
+}
+
+void setBackendStatus(BackendServerView& server, BackendStatus status, MonotonicTime now)
+{
+    if (server.status != BackendStatus::Live && status == BackendStatus::Live) {
+        server.liveSince = now;
+        server.betweenTokens = {};
+        server.firstToken = {};
+    }
+    server.status = status;
+}
+
+void removeGoneServers(PoolView& view)
+{
+    std::erase_if(view.servers, [](const BackendServerView& server) {
+        return server.status == BackendStatus::Gone && server.ownInFlight == 0;
+    });
+    view.indexByName.clear();
+    for (size_t i = 0; i < view.servers.size(); ++i) {
+        view.indexByName.emplace(view.servers[i].description.name, i);
+    }
+}
+
+void applyLoadReport(BackendServerView& server, const BackendLoadReport& report)
+{
+    if (server.report && report.sampledAt < server.report->sampledAt) {
+        return;
+    }
+    server.report = report;
+    std::erase_if(server.changesSinceReport, [&report](const OwnLoadChange& change) { return change.at <= report.sampledAt; });
+}
+
+void recordDispatch(BackendServerView& server, uint32_t computedPromptTokens, MonotonicTime now)
+{
+    ++server.ownInFlight;
+    server.changesSinceReport.push_back({ .at = now, .requests = 1, .promptTokens = computedPromptTokens });
+}
+
+void recordFinish(BackendServerView& server, MonotonicTime now)
+{
+    if (server.ownInFlight > 0) {
+        --server.ownInFlight;
+    }
+    server.changesSinceReport.push_back({ .at = now, .requests = -1, .promptTokens = 0 });
+}
+
+void recordFirstToken(BackendServerView& server, const PoolOptions& options, std::chrono::microseconds latency, MonotonicTime now)
+{
+    addSample(server.firstToken, options, latency, now);
+}
+
+void recordBetweenTokens(BackendServerView& server, const PoolOptions& options, std::chrono::microseconds latency, MonotonicTime now)
+{
+    addSample(server.betweenTokens, options, latency, now);
+}
+
+void refreshPoolView(PoolView& view, MonotonicTime now)
+{
+    const auto median = medianBetweenTokens(view, now);
+    for (BackendServerView& server : view.servers) {
+        server.slowness = 1.0;
+        if (median && median->count() > 0 && isUsable(server.betweenTokens, view.options, now)) {
+            const double ratio = std::chrono::duration<double>(server.betweenTokens.mean) / *median;
+            server.slowness = ratio > view.options.slowTolerance ? ratio : 1.0;
+        }
+        std::erase_if(server.changesSinceReport, [&view, now](const OwnLoadChange& change) {
+            return now - change.at > view.options.reportLifetime;
+        });
+    }
+}
+
+EstimatedLoad estimateLoad(const PoolView& view, const BackendServerView& server, MonotonicTime now)
+{
+    const double hosts = view.entryHosts;
+    if (!isFresh(view, server, now)) {
+        return { .requests = server.ownInFlight * hosts, .queuedPromptTokens = 0 };
+    }
+    double requests = server.report->running + server.report->waiting;
+    double tokens = static_cast<double>(server.report->queuedPromptTokens);
+    for (const OwnLoadChange& change : server.changesSinceReport) {
+        requests += change.requests * hosts;
+        tokens += static_cast<double>(change.promptTokens) * hosts;
+    }
+    return { .requests = std::max(requests, static_cast<double>(server.ownInFlight)), .queuedPromptTokens = std::max(tokens, 0.0) };
+}
+
+double usableSlots(const PoolView& view, const BackendServerView& server, MonotonicTime now)
+{
+    if (server.status != BackendStatus::Live || !server.reachable) {
+        return 0;
+    }
+    const bool reported = server.report && server.report->slots > 0;
+    const double slots = reported ? server.report->slots : server.description.defaultSlots;
+    return slots * slowStartShare(view, server, now) / server.slowness;
+}
+
+} // namespace siskinspread
