--- a/packages/decisions/include/siskinspread/Accounts.h
+++ b/packages/decisions/include/siskinspread/Accounts.h
@@ -27,9 +27,20 @@
 /** Which account is looked for: by request id, or by key when the sequence number is zero. */
 struct AccountQuery {
     RequestId request;
-    std::optional<IdempotencyKey> key; /**< With an id: lets "not run" be proved when the id left no entry. */
+    std::optional<IdempotencyKey> key; /**< Only with sequence number zero. */
 };
 
+/**
+ * Request ids tell by themselves whether the request needed an intent: odd sequence numbers are given to
+ * non-repeatable requests, even ones to all others. So "not run" can be proved for an id that left no entry.
+ *
+ * @return whether the request was dispatched only after an intent was on record. Thread safety: reentrant.
+ */
+bool needsIntent(const RequestId& request);
+
+/** @return the lowest sequence number above `last` for a request of this kind. Thread safety: reentrant. */
+uint64_t nextSequence(uint64_t last, bool needsIntent);
+
 /** @return the account of a request from the history of its incarnation. Thread safety: reentrant. */
 AccountAnswer accountFromHistory(const LogHistory& history, const AccountQuery& query);
 
--- a/packages/decisions/include/siskinspread/AtMostOnce.h
+++ b/packages/decisions/include/siskinspread/AtMostOnce.h
@@ -68,6 +68,7 @@
     std::map<RequestId, IdempotencyKey> requests; /**< Open requests that hold a key. */
     std::multimap<MonotonicTime, RequestId> deadlines;
     std::multimap<WallTime, IdempotencyKey> remembered; /**< Finished and unknown keys by the time they are forgotten. */
+    std::deque<IdempotencyKey> keptResponses; /**< Remembered keys whose response is held, oldest first. */
     size_t keptResponseBytes { 0 };
     bool logEnded { false };
 };
--- a/packages/decisions/include/siskinspread/CopyHolder.h
+++ b/packages/decisions/include/siskinspread/CopyHolder.h
@@ -50,6 +50,7 @@
 };
 struct RefuseCopies {
     IncarnationId owner;
+    bool permanent { false }; /**< Sealed or another incarnation; otherwise there is no room at present. */
 };
 struct ReturnSealedCopies {
     IncarnationId to;
--- a/packages/decisions/include/siskinspread/IncarnationLog.h
+++ b/packages/decisions/include/siskinspread/IncarnationLog.h
@@ -16,8 +16,8 @@
     std::chrono::milliseconds urgentInterval { 100 }; /**< Between the starts of two writes while somebody waits. */
     std::chrono::milliseconds lazyInterval { 10'000 }; /**< Longest time that an entry nobody waits for is held back. */
     std::chrono::milliseconds retryInterval { 500 }; /**< After an answer that was lost or a failed read. */
-    std::chrono::milliseconds copyAfter { 300 }; /**< Age of an unwritten urgent entry from which copies are sent. */
-    std::chrono::milliseconds copyResend { 200 }; /**< Between two sendings of unacknowledged copies. */
+    std::chrono::milliseconds copyAfter { 300 }; /**< Age of an unsettled batch from which copies are sent. */
+    std::chrono::milliseconds copyResend { 50 }; /**< Between two sendings of unacknowledged copies. */
     size_t maxBatchBytes { 512 * 1024 }; /**< The store holds values up to 1 MiB. */
     size_t maxWaitingBytes { 32 * 1024 * 1024 }; /**< New intents and `hasRoom` stop here. */
 };
@@ -49,6 +49,7 @@
     size_t waitingBytes { 0 };
     BatchPhase phase { BatchPhase::Idle };
     std::optional<MonotonicTime> lastWrite;
+    MonotonicTime batchStarted {}; /**< When the batch in progress was first sent. */
     MonotonicTime retryAt {};
     uint64_t loggedUpTo { 0 }; /**< Position of the last entry known to be in the log. */
     uint64_t copiedUpTo { 0 }; /**< Position of the last entry that the copy holder acknowledged. */
@@ -59,7 +60,7 @@
     bool closed { false };
 };
 
-/** Append an entry; `token` comes back with its completion. */
+/** Append an entry; `token`, above zero, comes back with its completion. */
 struct AppendEntry {
     uint64_t token { 0 };
     LogEntry entry;
@@ -94,11 +95,11 @@
     IncarnationId holder;
     uint64_t upTo { 0 };
 };
-/** The copy holder takes no copies of this log (sealed, restarted or full). */
+/** The copy holder takes no copies of this log any more (sealed, or its host runs another incarnation). */
 struct CopiesRefused {
     IncarnationId holder;
 };
-/** Planned stop: the closing entry is written after all that waits. */
+/** Planned stop: the closing entry is written after all that waits. Precondition: no request is open. */
 struct CloseRequested {
     WallTime at {};
 };
--- /dev/null
+++ b/packages/decisions/src/AtMostOnce.cpp
@@ -0,0 +1,372 @@
+#include "siskinspread/AtMostOnce.h"
+
+#include "AtMostOnceAdmission.h"
+#include "AtMostOnceHistory.h"
+
+#include <algorithm>
+
+namespace siskinspread {
+
+namespace {
+
+    class Owner {
+    public:
+        Owner(AtMostOnceState& state, const AtMostOnceOptions& options, ClockReading now, std::vector<AtMostOnceAction>& actions)
+            : m_state(state)
+            , m_options(options)
+            , m_now(now)
+            , m_actions(actions)
+        {
+        }
+
+        void on(const RequestArrived& event)
+        {
+            const auto known = m_state.keys.find(event.key);
+            if (m_state.logEnded) {
+                refuse(event, ResultCode::LogClosed, RunState::NotRun);
+            } else if (known != m_state.keys.end() && m_state.slices.contains(known->second.slice)) {
+                repeat(event, known->second);
+            } else if (const auto reason = reasonToRefuse(m_state, m_options, event, m_now)) {
+                refuse(event, *reason, *reason == ResultCode::SliceHistoryIncomplete ? RunState::MayHaveRun : RunState::NotRun);
+            } else {
+                accept(event);
+            }
+        }
+
+        void on(const IntentDurable& event)
+        {
+            KeyRecord* record = find(event.request);
+            if (!record || record->phase != KeyPhase::RecordingIntent) {
+                return;
+            }
+            if (m_now.monotonic >= record->deadline) {
+                abandon(*record, ResultCode::DeadlineExpired);
+                return;
+            }
+            record->phase = KeyPhase::Dispatched;
+            dispatch(*record);
+        }
+
+        void on(const IntentRefused& event)
+        {
+            KeyRecord* record = find(event.request);
+            if (!record || (record->phase != KeyPhase::RecordingIntent && record->phase != KeyPhase::Abandoned)) {
+                return;
+            }
+            const AccountEntry account = accountOf(*record, event.reason, RunState::NotRun);
+            answer(*record, account, resultInfo(event.reason).httpStatus, {}, true);
+            if (!m_state.logEnded) {
+                m_actions.emplace_back(RecordAccount { .entry = account });
+            }
+            release(event.request);
+        }
+
+        void on(const AttemptNotRun& event)
+        {
+            KeyRecord* record = findAttempt(event.request, event.attempt);
+            if (!record) {
+                return;
+            }
+            record->backendServers.push_back(event.backendServer);
+            const bool again = event.retryAllowed && !m_state.logEnded && m_now.monotonic < record->deadline;
+            if (again) {
+                dispatch(*record);
+            } else {
+                finish(*record, accountOf(*record, event.reason, RunState::NotRun), resultInfo(event.reason).httpStatus, {});
+            }
+        }
+
+        void on(const AttemptAnswered& event)
+        {
+            if (KeyRecord* record = findAttempt(event.request, event.attempt)) {
+                record->backendServers.push_back(event.backendServer);
+                finish(*record, accountOf(*record, event.result, RunState::Ran), event.httpStatus, event.response);
+            }
+        }
+
+        void on(const AttemptUnknown& event)
+        {
+            if (KeyRecord* record = findAttempt(event.request, event.attempt)) {
+                record->backendServers.push_back(event.backendServer);
+                const ResultCode code = ResultCode::OutcomeUnknown;
+                finish(*record, accountOf(*record, code, RunState::MayHaveRun), resultInfo(code).httpStatus, {});
+            }
+        }
+
+        void on(const OutcomeDurable& event)
+        {
+            KeyRecord* record = findRecorded(event.request);
+            if (!record) {
+                return;
+            }
+            answerFromOutcome(*record);
+            if (record->outcome.account.runState == RunState::NotRun) {
+                release(event.request);
+                return;
+            }
+            record->phase = record->outcome.account.runState == RunState::Ran ? KeyPhase::Finished : KeyPhase::Unknown;
+            if (!record->outcome.responseKept) {
+                record->outcome.response.clear();
+            }
+            const auto request = m_state.requests.find(event.request);
+            rememberKey(m_state, m_options, request->second, *record);
+            m_state.requests.erase(request);
+        }
+
+        void on(const OutcomeRefused& event)
+        {
+            KeyRecord* record = findRecorded(event.request);
+            if (!record) {
+                return;
+            }
+            // The record now says for good that the request may have run, so nothing else is said here.
+            answer(*record, accountOf(*record, ResultCode::OutcomeUnknown, RunState::MayHaveRun),
+                resultInfo(ResultCode::OutcomeUnknown).httpStatus, {}, true);
+            release(event.request);
+        }
+
+        void on(const SliceTaken& event)
+        {
+            OwnedSlice slice { .generation = event.assignment.generation };
+            for (const LogHistory& history : event.histories) {
+                inheritKeys(m_state, m_options, event.slice, history);
+                if (!history.complete) {
+                    noteIncomplete(slice, event.assignment, history);
+                }
+            }
+            m_state.slices[event.slice] = slice;
+        }
+
+        void on(const SliceReleased& event) { m_state.slices.erase(event.slice); }
+
+        void on(const OwnLogEnded& /*event*/) { m_state.logEnded = true; }
+
+        void on(const AtMostOnceTick& /*event*/)
+        {
+            while (!m_state.deadlines.empty() && m_state.deadlines.begin()->first <= m_now.monotonic) {
+                const RequestId request = m_state.deadlines.begin()->second;
+                m_state.deadlines.erase(m_state.deadlines.begin());
+                if (KeyRecord* record = find(request)) {
+                    expire(*record);
+                }
+            }
+            forgetKeys(m_state, m_now.wall);
+        }
+
+    private:
+        KeyRecord* find(const RequestId& request)
+        {
+            const auto found = m_state.requests.find(request);
+            return found == m_state.requests.end() ? nullptr : &m_state.keys.at(found->second);
+        }
+
+        /** The record whose current attempt this is; events about earlier attempts find nothing. */
+        KeyRecord* findAttempt(const RequestId& request, uint32_t attempt)
+        {
+            KeyRecord* record = find(request);
+            return record && record->phase == KeyPhase::Dispatched && record->attempts == attempt ? record : nullptr;
+        }
+
+        KeyRecord* findRecorded(const RequestId& request)
+        {
+            KeyRecord* record = find(request);
+            return record && (record->phase == KeyPhase::RecordingOutcome || record->phase == KeyPhase::Abandoned) ? record : nullptr;
+        }
+
+        void accept(const RequestArrived& event)
+        {
+            const uint32_t slice = sliceOf(event.key, m_options.slices);
+            m_state.keys.insert_or_assign(event.key, KeyRecord {
+                                                         .phase = KeyPhase::RecordingIntent,
+                                                         .request = event.request,
+                                                         .digest = event.digest,
+                                                         .slice = slice,
+                                                         .service = event.service,
+                                                         .entryHost = event.entryHost,
+                                                         .acceptedAt = m_now.wall,
+                                                         .deadline = event.deadline,
+                                                         .backendServers = {},
+                                                         .outcome = {},
+                                                     });
+            m_state.requests.emplace(event.request, event.key);
+            m_state.deadlines.emplace(event.deadline, event.request);
+            m_actions.emplace_back(RecordIntent { .entry = {
+                                                      .request = event.request,
+                                                      .key = event.key,
+                                                      .digest = event.digest,
+                                                      .slice = slice,
+                                                      .service = event.service,
+                                                      .entryHost = event.entryHost,
+                                                      .recordedAt = m_now.wall,
+                                                  } });
+        }
+
+        /** Another request with a key that is known. */
+        void repeat(const RequestArrived& event, const KeyRecord& record)
+        {
+            if (record.digest != event.digest) {
+                refuse(event, ResultCode::IdempotencyKeyReused, RunState::NotRun);
+            } else if (record.phase == KeyPhase::Unknown) {
+                refuse(event, ResultCode::OutcomeUnknown, RunState::MayHaveRun, record.request);
+            } else if (record.phase == KeyPhase::Finished) {
+                replay(event, record);
+            } else {
+                refuse(event, ResultCode::KeyInProgress, RunState::MayHaveRun);
+            }
+        }
+
+        void replay(const RequestArrived& event, const KeyRecord& record)
+        {
+            KeyRecord again = recordOf(event);
+            AccountEntry account = accountOf(again, record.outcome.account.result, RunState::Ran);
+            account.replayOf = record.request;
+            answer(again, account, record.outcome.httpStatus, record.outcome.response, record.outcome.responseKept);
+            m_actions.emplace_back(RecordAccount { .entry = account });
+        }
+
+        void refuse(const RequestArrived& event, ResultCode code, RunState runState, const std::optional<RequestId>& replayOf = {})
+        {
+            KeyRecord refused = recordOf(event);
+            AccountEntry account = accountOf(refused, code, runState);
+            account.replayOf = replayOf;
+            answer(refused, account, resultInfo(code).httpStatus, {}, true);
+            if (!m_state.logEnded) {
+                m_actions.emplace_back(RecordAccount { .entry = account });
+            }
+        }
+
+        /** A record of a request that does not hold its key. */
+        KeyRecord recordOf(const RequestArrived& event) const
+        {
+            return KeyRecord {
+                .request = event.request,
+                .digest = event.digest,
+                .service = event.service,
+                .entryHost = event.entryHost,
+                .acceptedAt = m_now.wall,
+                .backendServers = {},
+                .outcome = { .account = {}, .key = event.key, .httpStatus = 0, .response = {} },
+            };
+        }
+
+        void dispatch(KeyRecord& record)
+        {
+            ++record.attempts;
+            m_actions.emplace_back(DispatchRequest { .request = record.request, .attempt = record.attempts, .deadline = record.deadline });
+        }
+
+        void abandon(KeyRecord& record, ResultCode code)
+        {
+            finish(record, accountOf(record, code, RunState::NotRun), resultInfo(code).httpStatus, {});
+            record.phase = KeyPhase::Abandoned;
+            answerFromOutcome(record);
+        }
+
+        /** The deadline passed: the caller gets its final answer now. */
+        void expire(KeyRecord& record)
+        {
+            if (record.phase == KeyPhase::RecordingIntent) {
+                abandon(record, ResultCode::IntentNotRecorded);
+            } else if (record.phase == KeyPhase::RecordingOutcome && record.outcome.account.runState == RunState::NotRun) {
+                answerFromOutcome(record);
+            } else {
+                const ResultCode code = ResultCode::KeyInProgress;
+                answer(record, accountOf(record, code, RunState::MayHaveRun), resultInfo(code).httpStatus, {}, true);
+            }
+        }
+
+        void finish(KeyRecord& record, const AccountEntry& account, int httpStatus, const std::string& response)
+        {
+            const bool kept = response.size() <= m_options.maxResponseBytes;
+            const IdempotencyKey key = m_state.requests.at(record.request);
+            record.outcome = { .account = account, .key = key, .httpStatus = httpStatus, .response = response, .responseKept = kept };
+            record.phase = KeyPhase::RecordingOutcome;
+            OutcomeEntry entry = record.outcome;
+            if (!kept) {
+                entry.response.clear();
+            }
+            m_actions.emplace_back(RecordOutcome { .entry = std::move(entry) });
+        }
+
+        AccountEntry accountOf(const KeyRecord& record, ResultCode result, RunState runState) const
+        {
+            const auto request = m_state.requests.find(record.request);
+            return AccountEntry {
+                .request = record.request,
+                .customer = request == m_state.requests.end() ? record.outcome.key.customer : request->second.customer,
+                .service = record.service,
+                .result = result,
+                .runState = runState,
+                .attempts = record.attempts,
+                .backendServers = record.backendServers,
+                .acceptedAt = record.acceptedAt,
+                .finishedAt = m_now.wall,
+                .entryHost = record.entryHost,
+                .replayOf = std::nullopt,
+            };
+        }
+
+        void answerFromOutcome(KeyRecord& record)
+        {
+            // The caller of the first request gets a response of any size; only later ones depend on what is kept.
+            answer(record, record.outcome.account, record.outcome.httpStatus, record.outcome.response, true);
+        }
+
+        void answer(KeyRecord& record, const AccountEntry& account, int httpStatus, const std::string& response, bool responseKept)
+        {
+            if (record.answered) {
+                return;
+            }
+            record.answered = true;
+            m_actions.emplace_back(AnswerRequest {
+                .request = record.request,
+                .entryHost = record.entryHost,
+                .result = account.result,
+                .runState = account.runState,
+                .httpStatus = httpStatus,
+                .response = response,
+                .responseKept = responseKept,
+                .retryAfter = retryAfterOf(account.result, m_options),
+                .replayOf = account.replayOf,
+            });
+        }
+
+        /** Frees the key: nothing was dispatched under it, or the outcome "not run" is on record, or the log ended. */
+        void release(const RequestId& request)
+        {
+            const auto found = m_state.requests.find(request);
+            m_state.keys.erase(found->second);
+            m_state.requests.erase(found);
+        }
+
+        void noteIncomplete(OwnedSlice& slice, const SliceAssignment& assignment, const LogHistory& history) const
+        {
+            for (const PreviousOwner& owner : assignment.previous) {
+                if (owner.incarnation == history.incarnation) {
+                    slice.incompleteThrough = std::max(slice.incompleteThrough, owner.generation);
+                }
+            }
+            slice.incompleteUntil = std::max(slice.incompleteUntil, history.closedAt + m_options.slices.retention);
+        }
+
+        AtMostOnceState& m_state;
+        const AtMostOnceOptions& m_options;
+        ClockReading m_now;
+        std::vector<AtMostOnceAction>& m_actions;
+    };
+
+} // namespace
+
+void step(AtMostOnceState& state, const AtMostOnceOptions& options, const AtMostOnceEvent& event, ClockReading now, std::vector<AtMostOnceAction>& actions)
+{
+    Owner owner(state, options, now, actions);
+    std::visit([&](const auto& value) { owner.on(value); }, event);
+}
+
+size_t openRequests(const AtMostOnceState& state, uint32_t slice)
+{
+    return static_cast<size_t>(std::count_if(state.requests.begin(), state.requests.end(),
+        [&](const auto& request) { return state.keys.at(request.second).slice == slice; }));
+}
+
+} // namespace siskinspread
