--- a/packages/decisions/include/siskinspread/AttemptPlan.h
+++ b/packages/decisions/include/siskinspread/AttemptPlan.h
@@ -99,4 +99,32 @@
  */
 bool planHedge(const QuietAttempt& attempt, std::chrono::milliseconds hedgeAfter, const AttemptOptions& options, RetryBudget& budget, MonotonicTime now);
 
+/** A stream on a backend server whose reclaim has been announced. */
+struct ReclaimedStream {
+    bool movable { false }; /**< The call may be repeated and the service can go on from a given token. */
+    uint32_t tokensLeft { 0 }; /**< Expected tokens until the end of the answer. */
+    uint32_t tokensHeld { 0 }; /**< Prompt and answer tokens in the server's KV cache. */
+    uint64_t seed { 0 };
+};
+
+/** Constants of the moves. */
+struct ReclaimOptions {
+    std::chrono::milliseconds margin { 500 }; /**< Time before the announced end at which every move has begun. */
+    std::chrono::milliseconds expectedBetweenTokens { 30 };
+    double exportTokensPerSecond { 100000 };
+};
+
+/** When to end the attempt with AttemptEnd::ServerLeaving. */
+struct ReclaimMove {
+    std::chrono::milliseconds after { 0 };
+    bool exportCache { false }; /**< There is time to export the KV cache first. */
+};
+
+/**
+ * Decides what becomes of a stream before a reclaim. Moves are spread over the time that is left, so that the
+ * remaining servers do not get all of them at once.
+ * @return nothing when the stream stays: it ends in time, or cannot be moved. Reentrant.
+ */
+std::optional<ReclaimMove> planReclaimMove(const ReclaimedStream& stream, MonotonicTime reclaimAt, const ReclaimOptions& options, MonotonicTime now);
+
 } // namespace siskinspread
--- a/packages/decisions/include/siskinspread/RoutingPrefix.h
+++ b/packages/decisions/include/siskinspread/RoutingPrefix.h
@@ -36,15 +36,23 @@
         MonotonicTime at;
     };
     std::chrono::milliseconds halfLife { 60000 };
+    double doubt { 1.0 }; /**< Standard deviations by which a share is estimated low. */
+    double priorCount { 20 }; /**< Requests of other beginnings that are taken as seen before. */
     std::vector<Entry> entries; /**< Empty or a power of two; made at the first record. */
     Entry total;
 };
 
-/** Counts one request with these blocks and this amount of work. */
-void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, float work, MonotonicTime now);
+/** Counts one request with these blocks. Call it after the request has been routed. */
+void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now);
 
-/** @return the part, 0 to 1, of the recent work whose prompts begin with this block; 0 when nothing is known. */
-double prefixShare(const PrefixPopularity& popularity, PrefixBlock block, MonotonicTime now);
+/** Recent use of a prefix block. */
+struct PrefixUse {
+    double count { 0 }; /**< Decayed count; 0 when nothing is known. */
+    double share { 0 }; /**< Part, 0 to 1, of all recent requests, estimated low while the count is small. */
+};
+
+/** @return the recent use of the block, without the request at hand unless it was recorded before. */
+PrefixUse prefixUse(const PrefixPopularity& popularity, PrefixBlock block, MonotonicTime now);
 
 /**
  * Which backend servers hold which prefix block, as far as cache events and this host's own dispatches tell. Events
--- a/packages/decisions/src/AttemptPlan.cpp
+++ b/packages/decisions/src/AttemptPlan.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/AttemptPlan.h"
 
 #include <algorithm>
+#include <random>
 
 namespace siskinspread {
 
@@ -120,4 +121,21 @@
     return withdrawRetryToken(budget, attempt.customer, now);
 }
 
+std::optional<ReclaimMove> planReclaimMove(const ReclaimedStream& stream, MonotonicTime reclaimAt, const ReclaimOptions& options, MonotonicTime now)
+{
+    const MonotonicTime lastMove = reclaimAt - options.margin;
+    const MonotonicTime expectedEnd = now + options.expectedBetweenTokens * stream.tokensLeft;
+    if (!stream.movable || expectedEnd <= lastMove) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> exportTime { stream.tokensHeld / options.exportTokensPerSecond };
+    const auto window = std::chrono::duration_cast<std::chrono::milliseconds>(lastMove - now - exportTime);
+    if (window.count() <= 0) {
+        return ReclaimMove { .after = std::chrono::milliseconds(0), .exportCache = false };
+    }
+    std::mt19937_64 random { stream.seed };
+    const auto after = static_cast<int64_t>(random() % static_cast<uint64_t>(window.count()));
+    return ReclaimMove { .after = std::chrono::milliseconds(after), .exportCache = true };
+}
+
 } // namespace siskinspread
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -11,6 +11,7 @@
 
     constexpr double missedDeadlineCost = 1e7; // milliseconds; above any other cost
     constexpr size_t maximumHints = 8;
+    constexpr double seenCount = 0.25; // a request two half lives ago
 
     /** What is known about one usable server for one request. */
     struct Candidate {
@@ -83,12 +84,12 @@
         }
         const double servers = static_cast<double>(pool.candidates.size());
         for (const PrefixBlock block : request.blocks) {
-            const double share = prefixShare(view.popularity, block, now);
-            const double wanted = std::max(1.0, std::ceil(share * servers * options.replicaSlack));
+            const PrefixUse use = prefixUse(view.popularity, block, now);
+            const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
             if (wanted < static_cast<double>(homes.size())) {
                 narrowHomes(homes, static_cast<size_t>(wanted), block, view);
             }
-            const double credit = share > 0 ? 1.0 : options.unseenCredit;
+            const double credit = use.count >= seenCount ? 1.0 : options.unseenCredit;
             for (Candidate* home : homes) {
                 home->homeTokens += credit * request.tokensPerBlock;
             }
--- a/packages/decisions/src/RoutingPrefix.cpp
+++ b/packages/decisions/src/RoutingPrefix.cpp
@@ -20,9 +20,9 @@
         return entry.count * static_cast<float>(std::exp2(-age / Seconds(popularity.halfLife)));
     }
 
-    void addCount(const PrefixPopularity& popularity, PrefixPopularity::Entry& entry, float work, MonotonicTime now)
+    void addCount(const PrefixPopularity& popularity, PrefixPopularity::Entry& entry, MonotonicTime now)
     {
-        entry.count = decayed(popularity, entry, now) + work;
+        entry.count = decayed(popularity, entry, now) + 1;
         entry.at = now;
     }
 
@@ -63,33 +63,35 @@
     return XXH3_64bits_withSeed(&block, sizeof block, serverNameHash);
 }
 
-void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, float work, MonotonicTime now)
+void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now)
 {
     if (popularity.entries.empty()) {
         popularity.entries.resize(popularityEntries);
     }
-    addCount(popularity, popularity.total, work, now);
+    addCount(popularity, popularity.total, now);
     for (const PrefixBlock block : blocks) {
         PrefixPopularity::Entry& entry = popularity.entries[block & (popularity.entries.size() - 1)];
         if (entry.block == block) {
-            addCount(popularity, entry, work, now);
-        } else if (decayed(popularity, entry, now) < work) {
-            entry = { .block = block, .count = work, .at = now };
+            addCount(popularity, entry, now);
+        } else if (decayed(popularity, entry, now) < 1) {
+            entry = { .block = block, .count = 1, .at = now };
         }
     }
 }
 
-double prefixShare(const PrefixPopularity& popularity, PrefixBlock block, MonotonicTime now)
+PrefixUse prefixUse(const PrefixPopularity& popularity, PrefixBlock block, MonotonicTime now)
 {
     if (popularity.entries.empty()) {
-        return 0;
+        return {};
     }
     const PrefixPopularity::Entry& entry = popularity.entries[block & (popularity.entries.size() - 1)];
-    const float total = decayed(popularity, popularity.total, now);
-    if (entry.block != block || total <= 0) {
-        return 0;
+    if (entry.block != block) {
+        return {};
     }
-    return std::min(1.0, static_cast<double>(decayed(popularity, entry, now) / total));
+    const double count = decayed(popularity, entry, now);
+    const double total = decayed(popularity, popularity.total, now);
+    const double low = std::max(0.0, count - popularity.doubt * std::sqrt(count));
+    return { .count = count, .share = low / (total + popularity.priorCount) };
 }
 
 void recordCached(CachedPrefixes& cached, PrefixBlock block, uint64_t serverNameHash, MonotonicTime at)
