--- a/packages/observability/include/siskinspread/Log.h
+++ b/packages/observability/include/siskinspread/Log.h
@@ -82,7 +82,7 @@
 };
 
 /** One line of the log. */
-struct LogEntry {
+struct LogLine {
     LogLevel level { LogLevel::Info };
     std::string message {}; /**< The same words at each occurrence; what varies goes into `fields`. */
     std::optional<RequestId> requestId {};
@@ -114,10 +114,10 @@
     Log& operator=(const Log&) = delete;
 
     /** Writes one line, unless its level is below the minimum. Thread safety: any thread. */
-    void write(const LogEntry& entry);
+    void write(const LogLine& entry);
 
 private:
-    std::string format(const LogEntry& entry) const;
+    std::string format(const LogLine& entry) const;
 
     LogOptions m_options;
 };
--- a/packages/observability/src/Log.cpp
+++ b/packages/observability/src/Log.cpp
@@ -80,7 +80,7 @@
     class JsonLineCallback final : public el::LogDispatchCallback {
     public:
         std::function<void(std::string_view)> write;
-        std::function<std::string(const LogEntry&)> format;
+        std::function<std::string(const LogLine&)> format;
 
     protected:
         void handle(const el::LogDispatchData* data) override
@@ -143,7 +143,7 @@
     el::Helpers::installLogDispatchCallback<JsonLineCallback>(callbackId);
     auto* callback = el::Helpers::logDispatchCallback<JsonLineCallback>(callbackId);
     callback->write = m_options.write;
-    callback->format = [this](const LogEntry& entry) { return format(entry); };
+    callback->format = [this](const LogLine& entry) { return format(entry); };
 }
 
 Log::~Log()
@@ -151,7 +151,7 @@
     el::Helpers::uninstallLogDispatchCallback<JsonLineCallback>(callbackId);
 }
 
-void Log::write(const LogEntry& entry)
+void Log::write(const LogLine& entry)
 {
     if (entry.level < m_options.minimumLevel) {
         return;
@@ -159,7 +159,7 @@
     dispatch(entry.level, format(entry));
 }
 
-std::string Log::format(const LogEntry& entry) const
+std::string Log::format(const LogLine& entry) const
 {
     Json object;
     object["time"] = formatTime(m_options.clock());
