--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,5 +1,7 @@
 # Warnings for first-party code; generated and third-party code is built without them.
-set(SISKINSPREAD_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion)
+# Designated initialisers leave out members on purpose, which GCC 12 reports where a member has no initialiser of its own.
+set(SISKINSPREAD_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion
+  -Wno-missing-field-initializers)
 
 add_library(siskinspread_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
 
--- /dev/null
+++ b/packages/daemon/include/siskinspread/CallerResponse.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "siskinspread/HostContext.h"
+#include "siskinspread/ResultCode.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace siskinspread {
+
+/** Names of the headers that siskinspread reads or writes itself. */
+namespace header {
+    constexpr const char* requestId = "X-Request-Id";
+    constexpr const char* resultCode = "X-Result-Code";
+    constexpr const char* runState = "X-Run-State";
+    constexpr const char* deadline = "X-Deadline-Ms";
+    constexpr const char* idempotencyKey = "Idempotency-Key";
+    constexpr const char* notRun = "X-Not-Run";
+    constexpr const char* lastEventId = "Last-Event-ID";
+}
+
+/** A final answer that carries no answer of a backend server. */
+struct Refusal {
+    ResultCode code { ResultCode::InternalError };
+    RunState runState { RunState::NotRun };
+    std::optional<std::chrono::milliseconds> retryAfter; /**< Defaults to one second where the table says retryable. */
+    std::string detail;
+};
+
+/** Retry-After of a retryable refusal whose decision gave none. */
+constexpr std::chrono::milliseconds defaultRetryAfter { 1000 };
+
+/** @return the JSON text that tells a caller of a refusal. Thread safety: reentrant. */
+std::string refusalJson(const std::string& requestId, const Refusal&);
+
+/** Answers an exchange with a refusal and counts it. Thread safety: decide thread only. */
+void sendRefusal(HostContext&, ResponseSink&, ExchangeId, const std::string& requestId, const Refusal&);
+
+/** @return Retry-After in whole seconds, rounded up, at least 1. Thread safety: reentrant. */
+std::string retryAfterSeconds(std::chrono::milliseconds);
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/daemon/include/siskinspread/CallerRoutes.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "siskinspread/AccountLookups.h"
+#include "siskinspread/CallerResponse.h"
+#include "siskinspread/HostContext.h"
+#include "siskinspread/ModelRequests.h"
+#include "siskinspread/RequestRegister.h"
+#include "siskinspread/ServicePools.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace siskinspread {
+
+/** A request target cut into its path and its query. */
+struct Target {
+    std::string_view path;
+    std::string_view query;
+};
+
+/** @return the parts of a request target; views into it. Thread safety: reentrant. */
+Target splitTarget(std::string_view target);
+
+/** @return the value of a query parameter with percent escapes resolved, or nothing. Thread safety: reentrant. */
+std::optional<std::string> queryParameter(std::string_view query, std::string_view name);
+
+/**
+ * Finds out what a caller's request asks for, checks who asks, and passes it on.
+ * Thread safety: decide thread only.
+ */
+class CallerRoutes {
+public:
+    struct Parts {
+        ServicePools& pools;
+        RequestRegister& requests;
+        ModelRequests& models;
+        AccountLookups& accounts;
+        const LogWriter& log;
+    };
+
+    CallerRoutes(HostContext&, Parts);
+
+    void handle(const IncomingRequest&);
+
+    /** From here on new requests are refused and readiness says so. */
+    void beginDraining() { m_draining = true; }
+    bool isDraining() const { return m_draining; }
+
+private:
+    bool handleHealth(const IncomingRequest&, const Target&);
+    void handleAccount(const IncomingRequest&, const Target&, const std::string& customer);
+    void handleWork(const IncomingRequest&, const Target&, const std::string& customer);
+    bool refuseWork(ExchangeId);
+    std::optional<std::chrono::milliseconds> timeLeft(const IncomingRequest&);
+    void refuse(ExchangeId, const Refusal&);
+    void sendText(ExchangeId, int status, const std::string& body, const char* contentType);
+
+    HostContext& m_context;
+    Parts m_parts;
+    bool m_draining { false };
+};
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/daemon/include/siskinspread/RecordCodec.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "siskinspread/Accounts.h"
+#include "siskinspread/IncarnationLogEntries.h"
+#include "siskinspread/LastReason.h"
+#include "siskinspread/SliceMap.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace siskinspread {
+
+/**
+ * Durable records to and from the binary form of schema/records.proto. Decoding returns nothing, with the reason
+ * InternalError, for bytes that are not such a message. Thread safety: reentrant.
+ */
+std::string encodeLogBatch(const LogBatch&);
+std::optional<LogBatch> decodeLogBatch(std::string_view bytes, LastReason&);
+std::string encodeSealedCopy(const SealedCopy&);
+std::optional<SealedCopy> decodeSealedCopy(std::string_view bytes, LastReason&);
+std::string encodeSliceMap(const SliceMap&);
+std::optional<SliceMap> decodeSliceMap(std::string_view bytes, LastReason&);
+std::string encodeAccountAnswer(const AccountAnswer&);
+std::optional<AccountAnswer> decodeAccountAnswer(std::string_view bytes, LastReason&);
+
+/** @return the name of a batch's object: log/INCARNATION/NUMBER with 8 digits. */
+std::string logBatchName(const IncarnationId&, uint64_t number);
+
+/** @return the name of the object that holds the sealed copies of an incarnation's log. */
+std::string sealedCopyName(const IncarnationId&);
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/daemon/include/siskinspread/RequestRegister.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "siskinspread/Accounts.h"
+#include "siskinspread/HostContext.h"
+#include "siskinspread/LogWriter.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace siskinspread {
+
+/** Text form of the id in a refusal: it names no accepted request, so its account needs no record. */
+constexpr std::string_view refusalMark = "-r";
+
+/**
+ * Gives out request ids and keeps the requests that are open at this host until their account is on record.
+ * Thread safety: decide thread only.
+ */
+class RequestRegister {
+public:
+    RequestRegister(HostContext&, LogWriter&);
+
+    /** @return the id of a request that is refused before it is accepted. */
+    std::string refusalId();
+
+    /** Accepts a request: from here on it has exactly one account. `needsIntent`: it may not be repeated. */
+    RequestId accept(const std::string& customer, const std::string& service, bool needsIntent);
+
+    /** Notes an attempt at a backend server. */
+    void recordAttempt(const RequestId&, const std::string& backendServer);
+
+    /** Ends an open request and appends its account to the log. Ids that are not open are ignored. */
+    void finish(const RequestId&, ResultCode, RunState);
+
+    /** Ends an open request whose account the at-most-once decision writes itself. */
+    void forget(const RequestId&);
+
+    /** @return what is known of an open request or of one whose account is being written. */
+    std::optional<AccountAnswer> find(const RequestId&) const;
+
+    size_t openCount() const { return m_open.size(); }
+
+private:
+    HostContext& m_context;
+    LogWriter& m_log;
+    uint64_t m_lastSequence { 0 };
+    uint64_t m_lastRefusal { 0 };
+    std::map<RequestId, AccountEntry> m_open;
+    std::map<RequestId, AccountEntry> m_recording;
+};
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/daemon/src/CallerRoutes.cpp
@@ -0,0 +1,205 @@
+#include "siskinspread/CallerRoutes.h"
+
+#include <charconv>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr std::string_view chatPath = "/v1/chat/completions";
+    constexpr std::string_view accountsPath = "/accounts";
+    constexpr std::string_view bearer = "Bearer ";
+    constexpr std::chrono::milliseconds defaultDeadline { 600'000 };
+    constexpr int statusOk = 200;
+    constexpr int statusUnavailable = 503;
+    constexpr int hexadecimal = 16;
+
+    std::optional<std::string> unescape(std::string_view text)
+    {
+        std::string result;
+        for (size_t i = 0; i < text.size(); ++i) {
+            if (text[i] != '%') {
+                result += text[i];
+                continue;
+            }
+            unsigned value = 0;
+            if (i + 2 >= text.size() || std::from_chars(&text[i + 1], &text[i + 1] + 2, value, hexadecimal).ptr != &text[i + 1] + 2) {
+                return std::nullopt;
+            }
+            result += static_cast<char>(value);
+            i += 2;
+        }
+        return result;
+    }
+
+    std::optional<std::string_view> customerKey(const IncomingRequest& request)
+    {
+        const auto authorization = findHeader(request.headers, "Authorization");
+        if (!authorization || !authorization->starts_with(bearer)) {
+            return std::nullopt;
+        }
+        return authorization->substr(bearer.size());
+    }
+
+} // namespace
+
+Target splitTarget(std::string_view target)
+{
+    const size_t mark = target.find('?');
+    if (mark == std::string_view::npos) {
+        return { .path = target, .query = {} };
+    }
+    return { .path = target.substr(0, mark), .query = target.substr(mark + 1) };
+}
+
+std::optional<std::string> queryParameter(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const size_t end = query.find('&');
+        const std::string_view pair = query.substr(0, end);
+        const size_t equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+            return unescape(pair.substr(equals + 1));
+        }
+        query = end == std::string_view::npos ? std::string_view {} : query.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+CallerRoutes::CallerRoutes(HostContext& context, Parts parts)
+    : m_context(context)
+    , m_parts(parts)
+{
+}
+
+void CallerRoutes::handle(const IncomingRequest& request)
+{
+    const Target target = splitTarget(request.target);
+    if (handleHealth(request, target)) {
+        return;
+    }
+    if (!m_parts.pools.hasConfiguration()) {
+        refuse(request.exchange, { .code = ResultCode::NoConfiguration });
+        return;
+    }
+    const auto key = customerKey(request);
+    const auto customer = key ? m_parts.pools.customerOfKey(*key) : std::nullopt;
+    if (!customer) {
+        refuse(request.exchange, { .code = ResultCode::UnknownCustomer });
+        return;
+    }
+    if (target.path.starts_with(accountsPath)) {
+        handleAccount(request, target, *customer);
+        return;
+    }
+    handleWork(request, target, *customer);
+}
+
+bool CallerRoutes::handleHealth(const IncomingRequest& request, const Target& target)
+{
+    if (target.path == "/healthz") {
+        sendText(request.exchange, statusOk, "ok\n", "text/plain");
+        return true;
+    }
+    if (target.path == "/readyz") {
+        const bool ready = !m_draining && m_parts.pools.hasConfiguration() && !m_parts.log.hasEnded();
+        sendText(request.exchange, ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n", "text/plain");
+        return true;
+    }
+    if (target.path == "/metrics") {
+        sendText(request.exchange, statusOk, m_context.metrics.metricsText(), "text/plain; version=0.0.4");
+        return true;
+    }
+    return false;
+}
+
+void CallerRoutes::handleAccount(const IncomingRequest& request, const Target& target, const std::string& customer)
+{
+    AccountQuery query;
+    if (target.path.size() > accountsPath.size() + 1) {
+        LastReason reason;
+        const auto id = parseRequestId(target.path.substr(accountsPath.size() + 1), reason);
+        if (!id) {
+            refuse(request.exchange, { .code = reason.code, .detail = reason.detail });
+            return;
+        }
+        query.request = *id;
+    } else if (const auto key = queryParameter(target.query, "key")) {
+        query.key = IdempotencyKey { .customer = customer, .text = *key };
+    } else {
+        refuse(request.exchange, { .code = ResultCode::MalformedRequest, .detail = "use /accounts/REQUEST-ID or /accounts?key=KEY" });
+        return;
+    }
+    m_parts.accounts.start(query, {}, [this, exchange = request.exchange, customer](const AccountAnswer& answer) {
+        const bool isTheirs = answer.account.customer.empty() || answer.account.customer == customer;
+        if (answer.standing == AccountStanding::NotFound || !isTheirs) {
+            refuse(exchange, { .code = ResultCode::UnknownRequest, .detail = isTheirs ? answer.advice : "" });
+            return;
+        }
+        sendText(exchange, statusOk, accountJson(answer), "application/json");
+    });
+}
+
+void CallerRoutes::handleWork(const IncomingRequest& request, const Target& target, const std::string& customer)
+{
+    if (refuseWork(request.exchange)) {
+        return;
+    }
+    const auto left = timeLeft(request);
+    if (!left) {
+        return;
+    }
+    if (target.path == chatPath && request.method == "POST") {
+        m_parts.models.accept(request, customer, *left);
+        return;
+    }
+    refuse(request.exchange, { .code = ResultCode::UnknownPath });
+}
+
+bool CallerRoutes::refuseWork(ExchangeId exchange)
+{
+    if (m_draining) {
+        refuse(exchange, { .code = ResultCode::Draining });
+        return true;
+    }
+    if (m_parts.log.hasEnded()) {
+        refuse(exchange, { .code = ResultCode::LogClosed });
+        return true;
+    }
+    if (!m_parts.log.hasRoom() || m_parts.requests.openCount() >= m_context.settings.limits().max_open_requests()) {
+        refuse(exchange, { .code = ResultCode::RingFull, .detail = "too many requests are open or waiting for their record" });
+        return true;
+    }
+    return false;
+}
+
+std::optional<std::chrono::milliseconds> CallerRoutes::timeLeft(const IncomingRequest& request)
+{
+    const auto text = findHeader(request.headers, header::deadline);
+    if (!text) {
+        return defaultDeadline;
+    }
+    int64_t left = 0;
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), left);
+    if (error != std::errc {} || end != text->data() + text->size()) {
+        refuse(request.exchange, { .code = ResultCode::MalformedRequest, .detail = std::string { header::deadline } + " is a number of milliseconds" });
+        return std::nullopt;
+    }
+    if (left <= 0) {
+        refuse(request.exchange, { .code = ResultCode::DeadlineExpired });
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds { left };
+}
+
+void CallerRoutes::refuse(ExchangeId exchange, const Refusal& refusal)
+{
+    sendRefusal(m_context, m_context.callers, exchange, m_parts.requests.refusalId(), refusal);
+}
+
+void CallerRoutes::sendText(ExchangeId exchange, int status, const std::string& body, const char* contentType)
+{
+    m_context.callers.send(RespondWhole { .exchange = exchange, .status = status, .headers = { { .name = "Content-Type", .value = contentType } }, .body = body });
+}
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/daemon/src/Daemon.cpp
@@ -0,0 +1,274 @@
+#include "siskinspread/Daemon.h"
+
+#include "WakeSignal.h"
+#include "siskinspread/AccountLookups.h"
+#include "siskinspread/CallerRoutes.h"
+#include "siskinspread/ConfigurationWatch.h"
+#include "siskinspread/LogWriter.h"
+#include "siskinspread/ModelRequests.h"
+#include "siskinspread/RequestRegister.h"
+#include "siskinspread/ServerChannel.h"
+#include "siskinspread/ServicePools.h"
+#include "siskinspread/Timers.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <random>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 50 };
+    constexpr std::chrono::milliseconds refreshInterval { 250 };
+    // Time for the last answers to leave and the log to close after the last request has ended.
+    constexpr std::chrono::milliseconds closingTime { 5000 };
+    constexpr std::chrono::milliseconds lastWriteTime { 200 };
+
+    uint64_t drawSeed()
+    {
+        std::random_device device;
+        return (static_cast<uint64_t>(device()) << 32) | device();
+    }
+
+    IncarnationId drawIncarnation(const std::string& host)
+    {
+        char digits[20];
+        std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(drawSeed()));
+        return { host + "." + digits };
+    }
+
+    ObjectApiOptions storeOptions(const schema::PlatformSettings& settings)
+    {
+        return { .url = settings.object_api(), .timeout = std::chrono::milliseconds { settings.timeout_ms() } };
+    }
+
+    HttpServerOptions callerOptions(const schema::Settings& settings)
+    {
+        return {
+            .address = settings.listen().address(),
+            .port = static_cast<uint16_t>(settings.listen().caller_port()),
+            .maxBodyBytes = settings.limits().max_body_bytes(),
+            .maxHeaderValueBytes = settings.limits().max_header_bytes(),
+            .readTimeout = std::chrono::milliseconds { settings.limits().read_timeout_ms() },
+        };
+    }
+
+    LogLevel logLevel(schema::LogSettings::Level level)
+    {
+        switch (level) {
+        case schema::LogSettings::DEBUG:
+            return LogLevel::Debug;
+        case schema::LogSettings::WARNING:
+            return LogLevel::Warning;
+        case schema::LogSettings::ERROR:
+            return LogLevel::Error;
+        default:
+            return LogLevel::Info;
+        }
+    }
+
+} // namespace
+
+class Daemon::Implementation {
+public:
+    explicit Implementation(schema::Settings settings)
+        : m_settings(std::move(settings))
+        , m_log({ .host = m_settings.host().name(), .failureDomain = m_settings.host().failure_domain(), .minimumLevel = logLevel(m_settings.log().level()) })
+        , m_metrics({ .host = m_settings.host().name(), .failureDomain = m_settings.host().failure_domain() })
+    {
+    }
+
+    bool run(LastReason& reason)
+    {
+        readClocks();
+        const auto port = m_callers.start(reason);
+        if (!port) {
+            return false;
+        }
+        m_backendServers.startClient();
+        m_platform.startClient();
+        m_peers.startClient();
+        m_watch.start();
+        scheduleRefresh();
+        m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
+        while (!isFinished()) {
+            turn();
+        }
+        m_log.write({ .level = LogLevel::Info, .message = "host stopped" });
+        m_callers.stop();
+        m_backendServers.stopClient();
+        m_platform.stopClient();
+        m_peers.stopClient();
+        return true;
+    }
+
+    void requestStop()
+    {
+        m_stopRequested.store(true, std::memory_order_release);
+        m_wake.raise();
+    }
+
+private:
+    std::function<void()> waker()
+    {
+        return [this] { m_wake.raise(); };
+    }
+
+    std::function<void()> ringRefusal(Ring ring)
+    {
+        return [this, ring] { m_metrics.countRingRefusal(ring); };
+    }
+
+    void readClocks()
+    {
+        m_context.now = std::chrono::steady_clock::now();
+        m_context.wall = std::chrono::system_clock::now();
+    }
+
+    void turn()
+    {
+        const MonotonicTime wakeAt = std::min(m_timers.next().value_or(m_context.now + tickInterval), m_context.now + tickInterval);
+        m_wake.waitUntil(wakeAt);
+        readClocks();
+        takeCallerEvents();
+        m_backendServers.dispatchEvents();
+        m_platform.dispatchEvents();
+        m_peers.dispatchEvents();
+        m_timers.run(m_context.now);
+        m_writer.tick();
+        m_callers.flush();
+        advanceStop();
+    }
+
+    void takeCallerEvents()
+    {
+        while (const auto event = m_callers.next()) {
+            if (const auto* request = std::get_if<IncomingRequest>(event.get())) {
+                m_routes.handle(*request);
+            } else {
+                m_models.callerClosed(std::get<ExchangeClosed>(*event).exchange);
+            }
+        }
+    }
+
+    void scheduleRefresh()
+    {
+        m_pools.refresh();
+        m_timers.schedule(m_context.now + refreshInterval, [this] { scheduleRefresh(); });
+    }
+
+    void onConfiguration(const std::string& content)
+    {
+        LastReason reason;
+        const auto configuration = decodeConfiguration(content, reason);
+        if (!configuration) {
+            m_log.write({ .level = LogLevel::Error, .message = "the stored configuration is not valid; the one in force stands", .code = reason.code, .fields = { { .name = "detail", .value = reason.detail } } });
+            return;
+        }
+        if (configuration->revision() <= m_pools.revision()) {
+            m_log.write({ .level = LogLevel::Warning, .message = "an older configuration was refused", .code = ResultCode::StaleRevision, .fields = { { .name = "revision", .value = configuration->revision() } } });
+            return;
+        }
+        m_pools.apply(*configuration);
+        m_log.write({ .level = LogLevel::Info, .message = "configuration in force", .fields = { { .name = "revision", .value = configuration->revision() } } });
+    }
+
+    void advanceStop()
+    {
+        if (!m_stopRequested.load(std::memory_order_acquire)) {
+            return;
+        }
+        if (!m_routes.isDraining()) {
+            m_routes.beginDraining();
+            m_graceEnds = m_context.now + std::chrono::milliseconds { m_settings.drain().grace_ms() };
+            m_log.write({ .level = LogLevel::Info, .message = "planned stop begins", .fields = { { .name = "open_requests", .value = m_requests.openCount() } } });
+        }
+        if (!m_closingBegan && (!m_requests.openCount() || m_context.now >= m_graceEnds)) {
+            m_closingBegan = true;
+            m_closingEnds = m_context.now + closingTime;
+            m_leaveAt = m_context.now + lastWriteTime;
+            m_writer.close();
+        }
+    }
+
+    bool isFinished() const
+    {
+        if (!m_closingBegan) {
+            return false;
+        }
+        const bool isClosed = m_writer.hasEnded() && !m_callers.hasWaiting() && m_context.now >= m_leaveAt;
+        return isClosed || m_context.now >= m_closingEnds;
+    }
+
+    RespondWhole ringFullResponse(ExchangeId exchange)
+    {
+        m_metrics.countRingRefusal(Ring::CallersToDecide);
+        const Refusal refusal { .code = ResultCode::RingFull };
+        RespondWhole response { .exchange = exchange, .status = resultInfo(refusal.code).httpStatus, .headers = {}, .body = refusalJson("", refusal) };
+        response.headers.push_back({ .name = "Content-Type", .value = "application/json" });
+        response.headers.push_back({ .name = "Retry-After", .value = retryAfterSeconds(defaultRetryAfter) });
+        return response;
+    }
+
+    AccountAnswer localAccount(const AccountQuery& query) const
+    {
+        return m_requests.find(query.request).value_or(AccountAnswer { .standing = AccountStanding::NotFound, .request = query.request, .account = {}, .key = {}, .recordedBy = m_context.incarnation.text, .advice = {} });
+    }
+
+    const schema::Settings m_settings;
+    Log m_log;
+    Metrics m_metrics;
+    WakeSignal m_wake;
+    std::atomic<bool> m_stopRequested { false };
+    const size_t m_ringCapacity { m_settings.limits().ring_capacity() };
+    ServerChannel m_callers { callerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
+    TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers) };
+    TransferRouter m_platform { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPlatform) };
+    TransferRouter m_peers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPeers) };
+    HostContext m_context {
+        .settings = m_settings,
+        .incarnation = drawIncarnation(m_settings.host().name()),
+        .seed = drawSeed(),
+        .callers = m_callers,
+        .peerCallers = m_callers,
+        .backendServers = m_backendServers,
+        .platform = m_platform,
+        .peers = m_peers,
+        .metrics = m_metrics,
+        .log = m_log,
+    };
+    Timers m_timers;
+    const ObjectApiOptions m_store { storeOptions(m_settings.platform()) };
+    LogWriter m_writer { m_context, m_store };
+    RequestRegister m_requests { m_context, m_writer };
+    ServicePools m_pools { m_context };
+    ModelRequests m_models { m_context, m_timers, m_pools, m_requests };
+    AccountLookups m_accounts { m_context, m_timers, m_store, [this](const AccountQuery& query) { return localAccount(query); },
+        [](const IncarnationId&, const AccountQuery&, const std::function<void(std::optional<AccountAnswer>)>& done) { done(std::nullopt); } };
+    CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .accounts = m_accounts, .log = m_writer } };
+    ConfigurationWatch m_watch { m_context, m_timers, m_store, [this](const std::string& content) { onConfiguration(content); } };
+    MonotonicTime m_graceEnds {};
+    MonotonicTime m_closingEnds {};
+    MonotonicTime m_leaveAt {};
+    bool m_closingBegan { false };
+};
+
+Daemon::Daemon(schema::Settings settings)
+    : m_implementation(std::make_unique<Implementation>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::run(LastReason& reason)
+{
+    return m_implementation->run(reason);
+}
+
+void Daemon::requestStop()
+{
+    m_implementation->requestStop();
+}
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/daemon/src/RequestRegister.cpp
@@ -0,0 +1,90 @@
+#include "siskinspread/RequestRegister.h"
+
+namespace siskinspread {
+
+RequestRegister::RequestRegister(HostContext& context, LogWriter& log)
+    : m_context(context)
+    , m_log(log)
+{
+}
+
+std::string RequestRegister::refusalId()
+{
+    return m_context.incarnation.text + std::string { refusalMark } + std::to_string(++m_lastRefusal);
+}
+
+RequestId RequestRegister::accept(const std::string& customer, const std::string& service, bool needsIntent)
+{
+    m_lastSequence = nextSequence(m_lastSequence, needsIntent);
+    const RequestId id { .incarnation = m_context.incarnation, .sequence = m_lastSequence };
+    AccountEntry account;
+    account.request = id;
+    account.customer = customer;
+    account.service = service;
+    account.acceptedAt = m_context.wall;
+    account.entryHost = m_context.settings.host().name();
+    m_open.emplace(id, std::move(account));
+    m_context.metrics.changeOpenRequests(1);
+    return id;
+}
+
+void RequestRegister::recordAttempt(const RequestId& id, const std::string& backendServer)
+{
+    const auto entry = m_open.find(id);
+    if (entry == m_open.end()) {
+        return;
+    }
+    ++entry->second.attempts;
+    entry->second.backendServers.push_back(backendServer);
+}
+
+void RequestRegister::finish(const RequestId& id, ResultCode result, RunState runState)
+{
+    const auto entry = m_open.find(id);
+    if (entry == m_open.end()) {
+        return;
+    }
+    AccountEntry account = std::move(entry->second);
+    m_open.erase(entry);
+    account.result = result;
+    account.runState = runState;
+    account.finishedAt = m_context.wall;
+    m_context.metrics.changeOpenRequests(-1);
+    m_context.metrics.countRequest(account.service, result);
+    m_context.log.write({
+        .level = LogLevel::Info,
+        .message = "request finished",
+        .requestId = id,
+        .code = result,
+        .fields = { { .name = "service", .value = account.service }, { .name = "attempts", .value = account.attempts } },
+    });
+    m_recording.emplace(id, account);
+    m_log.append(std::move(account), [this, id](bool, ResultCode) { m_recording.erase(id); });
+}
+
+void RequestRegister::forget(const RequestId& id)
+{
+    if (m_open.erase(id)) {
+        m_context.metrics.changeOpenRequests(-1);
+    }
+}
+
+std::optional<AccountAnswer> RequestRegister::find(const RequestId& id) const
+{
+    AccountAnswer answer;
+    answer.request = id;
+    answer.recordedBy = m_context.incarnation.text;
+    if (const auto open = m_open.find(id); open != m_open.end()) {
+        answer.standing = AccountStanding::InProgress;
+        answer.account = open->second;
+        return answer;
+    }
+    if (const auto recording = m_recording.find(id); recording != m_recording.end()) {
+        answer.standing = AccountStanding::Provisional;
+        answer.account = recording->second;
+        return answer;
+    }
+    return std::nullopt;
+}
+
+} // namespace siskinspread
--- a/packages/transport/include/siskinspread/HttpServer.h
+++ b/packages/transport/include/siskinspread/HttpServer.h
@@ -92,6 +92,9 @@
     /** @return false when the command ring is full; `command` is then unchanged. Unknown exchanges are ignored. */
     bool tryCommand(ServerCommand& command);
 
+    /** Answers at once, past the ring. Precondition: called inside a handler, on the server's thread. */
+    void respondFromHandler(RespondWhole&& response);
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/packages/transport/src/HttpServer.cpp
+++ b/packages/transport/src/HttpServer.cpp
@@ -116,6 +116,19 @@
         return false;
     }
 
+    void run(RespondWhole& command)
+    {
+        const auto entry = m_exchanges.find(command.exchange);
+        if (entry == m_exchanges.end()) {
+            return;
+        }
+        auto response = entry->second.request->create_response(statusLine(command.status));
+        appendHeaders(response, command.headers);
+        response.set_body(std::move(command.body));
+        response.done();
+        forget(entry);
+    }
+
 private:
     restinio::server_settings_t<ServerTraits> settings(uint16_t& port)
     {
@@ -179,19 +192,6 @@
         }
     }
 
-    void run(RespondWhole& command)
-    {
-        const auto entry = m_exchanges.find(command.exchange);
-        if (entry == m_exchanges.end()) {
-            return;
-        }
-        auto response = entry->second.request->create_response(statusLine(command.status));
-        appendHeaders(response, command.headers);
-        response.set_body(std::move(command.body));
-        response.done();
-        forget(entry);
-    }
-
     void run(StartStream& command)
     {
         const auto entry = m_exchanges.find(command.exchange);
@@ -284,6 +284,11 @@
     m_implementation->stop();
 }
 
+void HttpServer::respondFromHandler(RespondWhole&& response)
+{
+    m_implementation->run(response);
+}
+
 bool HttpServer::tryCommand(ServerCommand& command)
 {
     return m_implementation->tryCommand(command);
