--- /dev/null
+++ b/tests/process/support/Programs.cpp
@@ -0,0 +1,43 @@
+#include "Programs.h"
+
+#include "HttpClient.h"
+
+#include <stdexcept>
+#include <utility>
+
+namespace siskinspread::testing {
+namespace {
+
+    ProcessOptions standInOptions(const std::string& name, std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.begin(), { "--port", "0" });
+        return { .program = standInProgram(name), .arguments = std::move(arguments), .errorFile = {} };
+    }
+
+} // namespace
+
+std::filesystem::path buildDirectory()
+{
+    return SISKINSPREAD_BUILD_DIRECTORY;
+}
+
+std::string standInProgram(const std::string& name)
+{
+    return (buildDirectory() / "tests" / "standins" / name).string();
+}
+
+StandIn::StandIn(const std::string& name, std::vector<std::string> arguments)
+    : m_process(standInOptions(name, std::move(arguments)))
+    , m_address(m_process.waitUntilListening())
+{
+}
+
+void StandIn::setFaults(const std::string& json) const
+{
+    const HttpResponse response = httpCall({ .method = "POST", .url = url("/control/faults"), .body = json });
+    if (response.status != 200) {
+        throw std::runtime_error("faults not set: " + json + ": " + response.body + response.error);
+    }
+}
+
+} // namespace siskinspread::testing
--- a/tests/standins/CommonFaults.cpp
+++ b/tests/standins/CommonFaults.cpp
@@ -51,7 +51,7 @@
 void sendJson(const Responder& responder, int status, const nlohmann::json& body, Headers headers)
 {
     headers.emplace("Content-Type", "application/json");
-    responder.send(status, body.dump(), std::move(headers));
+    responder.send(status, body.dump(), headers);
 }
 
 void sendNotRun(const Responder& responder, const std::string& why)
--- a/tests/standins/Engine.cpp
+++ b/tests/standins/Engine.cpp
@@ -128,7 +128,7 @@
         run.isStreaming = true;
         auto headers = answerHeaders(run);
         headers.emplace("Content-Type", "text/event-stream");
-        run.responder.startStream(200, std::move(headers));
+        run.responder.startStream(200, headers);
     }
 }
 
--- a/tests/standins/EngineApi.cpp
+++ b/tests/standins/EngineApi.cpp
@@ -122,7 +122,7 @@
     for (const CacheEvent& event : m_cache.events(call.queryNumber("after", 0), Clock::now())) {
         events.push_back({ { "seq", event.sequence }, { "op", event.operation == CacheOperation::Add ? "add" : "remove" }, { "block", blockName(event.block) } });
     }
-    sendJson(responder, 200, { { "events", events } });
+    sendJson(responder, 200, events);
 }
 
 void Engine::sendLoad(const Responder& responder)
--- a/tests/standins/EventLoop.cpp
+++ b/tests/standins/EventLoop.cpp
@@ -13,7 +13,7 @@
 namespace siskinspread::standin {
 namespace {
 
-    constexpr size_t maxBodySize = 16 * 1024 * 1024;
+    constexpr size_t maxBodySize = size_t { 16 } * 1024 * 1024;
 
     /** Longer than any test: the stand-ins hold calls open on purpose. */
     constexpr std::chrono::hours httpTimeout { 24 };
@@ -78,13 +78,13 @@
 {
 }
 
-void Responder::send(int status, std::string body, Headers headers) const
+void Responder::send(int status, std::string body, const Headers& headers) const
 {
     if (!m_impl->canAnswer()) {
         return;
     }
     auto response = m_impl->request->create_response(statusLine(status));
-    for (auto& [name, value] : headers) {
+    for (const auto& [name, value] : headers) {
         response.append_header(name, value);
     }
     response.set_body(std::move(body));
@@ -92,14 +92,14 @@
     m_impl->complete();
 }
 
-void Responder::startStream(int status, Headers headers) const
+void Responder::startStream(int status, const Headers& headers) const
 {
     if (!m_impl->canAnswer()) {
         return;
     }
     m_impl->stream.emplace(m_impl->request->create_response<restinio::chunked_output_t>(
         statusLine(status)));
-    for (auto& [name, value] : headers) {
+    for (const auto& [name, value] : headers) {
         m_impl->stream->append_header(name, value);
     }
     m_impl->stream->flush();
--- a/tests/standins/EventLoop.h
+++ b/tests/standins/EventLoop.h
@@ -39,10 +39,10 @@
     explicit Responder(std::shared_ptr<Impl> impl);
 
     /** Sends a whole answer. */
-    void send(int status, std::string body = {}, Headers headers = {}) const;
+    void send(int status, std::string body = {}, const Headers& headers = {}) const;
 
     /** Starts a chunked answer; write and finish follow. */
-    void startStream(int status, Headers headers) const;
+    void startStream(int status, const Headers& headers) const;
 
     /** Sends one chunk. Precondition: startStream was called. */
     void write(std::string chunk) const;
--- a/tests/standins/ObjectStore.h
+++ b/tests/standins/ObjectStore.h
@@ -9,7 +9,7 @@
 namespace siskinspread::standin {
 
 /** Values above this size are refused. */
-constexpr size_t maxObjectSize = 1024 * 1024;
+constexpr size_t maxObjectSize = size_t { 1024 } * 1024;
 
 struct StoredObject {
     std::string value;
--- a/tests/standins/PrefixCache.cpp
+++ b/tests/standins/PrefixCache.cpp
@@ -1,7 +1,6 @@
 #include "PrefixCache.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace siskinspread::standin {
 namespace {
@@ -26,7 +25,8 @@
 {
     // From the last block to the first, so that the end of a prefix is evicted before its start.
     const auto kept = blocks.first(std::min(blocks.size(), m_options.capacityBlocks));
-    for (const uint64_t block : std::views::reverse(kept)) {
+    for (auto next = kept.rbegin(); next != kept.rend(); ++next) {
+        const uint64_t block = *next;
         auto position = m_positions.find(block);
         if (position != m_positions.end()) {
             m_byUse.splice(m_byUse.begin(), m_byUse, position->second);
