--- a/packages/settings/include/siskinspread/ServiceFile.h
+++ b/packages/settings/include/siskinspread/ServiceFile.h
@@ -43,15 +43,20 @@
 /** Like parseServiceDocument, for a caller that needs the content only. Thread safety: reentrant. */
 std::optional<schema::ServiceFile> parseServiceFile(std::string_view text, const std::string& file, LastReason& reason, std::vector<SettingsProblem>* problems = nullptr);
 
+/** What is known beside the files that are checked together. */
+struct CheckTogetherOptions {
+    std::span<const std::string> knownCustomers {}; /**< Described elsewhere, for example in the configuration in force. */
+    bool allowUnknownCustomers { false }; /**< Leaves customers in limits to a later check of the whole configuration. */
+};
+
 /**
  * Checks service files beside each other: one description for each service and customer, limits for known customers
  * only, backend servers that agree with each other and with their pool.
  * @param documents files that passed parseServiceDocument.
- * @param knownCustomers names of customers that are described elsewhere, for example in the configuration in force.
  * @return all problems, sorted; empty when there are none.
  * Thread safety: reentrant.
  */
-std::vector<SettingsProblem> checkTogether(std::span<const ServiceDocument> documents, std::span<const std::string> knownCustomers = {});
+std::vector<SettingsProblem> checkTogether(std::span<const ServiceDocument> documents, const CheckTogetherOptions& options = {});
 
 /**
  * Applies every check of service files to a configuration that did not come from files, for example one read from the
--- a/packages/settings/src/CheckTogether.cpp
+++ b/packages/settings/src/CheckTogether.cpp
@@ -172,14 +172,16 @@
 
 } // namespace
 
-std::vector<SettingsProblem> checkTogether(std::span<const ServiceDocument> documents, std::span<const std::string> knownCustomers)
+std::vector<SettingsProblem> checkTogether(std::span<const ServiceDocument> documents, const CheckTogetherOptions& options)
 {
     std::vector<SettingsProblem> problems;
-    std::set<std::string> customers { knownCustomers.begin(), knownCustomers.end() };
+    std::set<std::string> customers { options.knownCustomers.begin(), options.knownCustomers.end() };
     Together together { .problems = problems };
     together.services(documents);
     together.customers(documents, customers);
-    together.limits(documents, customers);
+    if (!options.allowUnknownCustomers) {
+        together.limits(documents, customers);
+    }
     together.pools(documents);
     together.servers(documents);
     sortProblems(problems);
