Add siskinctl: command line, check, presentation over plain structs

Ruled out: one flat set of options for all commands (help then shows options that do not apply); abbreviated options (a script breaks when a longer one is added). Change: parseCommandLine yields a variant of argument structs; runCommand runs it over OperatorApi, at which the mock stands; check reads files and directories and settings. Conclusion: publish sends nothing unless every file passes alone and together.

--- /dev/null
+++ b/packages/ctl/include/siskinspread/CommandLine.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "siskinspread/LastReason.h"
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace siskinspread {
+
+/** How a command prints its result. */
+enum class OutputFormat : uint8_t {
+    Text,
+    Json,
+};
+
+/** Options that every command has. */
+struct CommonArguments {
+    OutputFormat output { OutputFormat::Text };
+    std::chrono::milliseconds timeout { 0 }; /**< Longest time of one call over the network. */
+};
+
+/** `siskinctl check [--settings FILE]... [FILE|DIR]...` */
+struct CheckArguments {
+    CommonArguments common;
+    std::vector<std::string> serviceFiles; /**< Files, and directories whose *.toml files are taken. */
+    std::vector<std::string> settingsFiles;
+};
+
+/** `siskinctl publish --object-api URL [--wait] FILE|DIR...` */
+struct PublishArguments {
+    CommonArguments common;
+    std::vector<std::string> serviceFiles; /**< As for check. */
+    std::string objectApi; /**< http://IP:port. */
+    std::vector<std::string> entryHosts; /**< http://IP:port of the callers' ports; needed for `wait`. */
+    bool wait { false }; /**< Wait until every live host has the revision in force. */
+    std::chrono::seconds waitTimeout { 0 };
+};
+
+/** `siskinctl status --entry-host URL...` */
+struct StatusArguments {
+    CommonArguments common;
+    std::vector<std::string> entryHosts; /**< Tried in this order. */
+};
+
+/** `siskinctl account --entry-host URL... ID` */
+struct AccountArguments {
+    CommonArguments common;
+    std::vector<std::string> entryHosts; /**< Tried in this order. */
+    std::string requestId; /**< Passes parseRequestId. */
+};
+
+/** `siskinctl drain --entry-host URL... [--wait] NAME` */
+struct DrainArguments {
+    CommonArguments common;
+    std::vector<std::string> entryHosts; /**< Tried in this order. */
+    std::string name; /**< Of the entry host or backend server that is to take no new work. */
+    bool wait { false }; /**< Wait until it has no open request. */
+    std::chrono::seconds waitTimeout { 0 };
+};
+
+/** A text to print in place of running a command: help or version. */
+struct ShowText {
+    std::string text;
+};
+
+/** What a command line asks for. */
+using Command = std::variant<ShowText, CheckArguments, PublishArguments, StatusArguments, AccountArguments, DrainArguments>;
+
+/**
+ * @param arguments the words after the program's name.
+ * @param reason set to MalformedRequest with a sentence for the operator when the command line cannot be understood.
+ * Thread safety: reentrant.
+ */
+std::optional<Command> parseCommandLine(std::span<const std::string> arguments, LastReason& reason);
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/ctl/tests/RunCommandTest.cpp
@@ -0,0 +1,206 @@
+#include "siskinspread/RunCommand.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <doctest/trompeloeil.hpp>
+
+#include <sstream>
+
+namespace siskinspread {
+
+namespace {
+
+    class MockOperatorApi : public OperatorApi {
+    public:
+        MAKE_MOCK3(publish, std::optional<PublishReport>(const PublishArguments&, std::span<const ServiceDocument>, LastReason&), override);
+        MAKE_MOCK2(status, std::optional<SystemStatus>(const StatusArguments&, LastReason&), override);
+        MAKE_MOCK2(account, std::optional<AccountReport>(const AccountArguments&, LastReason&), override);
+        MAKE_MOCK2(drain, std::optional<DrainReport>(const DrainArguments&, LastReason&), override);
+    };
+
+    const std::string examples = SISKINSPREAD_SOURCE "/examples/";
+    const std::string host = "http://127.0.0.1:7100";
+    const std::string requestId = "gauteng-1a.00f3a1b2c4d5e6f7-7";
+
+    struct Outcome {
+        ExitCode code;
+        std::string output;
+        std::string errors;
+    };
+
+    Outcome run(const std::vector<std::string>& arguments, OperatorApi& api)
+    {
+        std::ostringstream output;
+        std::ostringstream errors;
+        const ExitCode code = runCommand(arguments, api, { .output = output, .errors = errors });
+        return { .code = code, .output = output.str(), .errors = errors.str() };
+    }
+
+    Outcome run(const std::vector<std::string>& arguments)
+    {
+        MockOperatorApi api;
+        return run(arguments, api);
+    }
+
+} // namespace
+
+TEST_CASE("help and version are printed, for the program and for each command")
+{
+    CHECK(run({ "--version" }).output.starts_with("siskinctl 0."));
+    const Outcome help = run({ "--help" });
+    CHECK(help.code == ExitCode::Success);
+    for (const std::string command : { "check", "publish", "status", "account", "drain" }) {
+        CHECK(help.output.find("\n  " + command + " ") != std::string::npos);
+        const Outcome commandHelp = run({ command, "--help" });
+        CHECK(commandHelp.code == ExitCode::Success);
+        CHECK(commandHelp.output.starts_with("usage: siskinctl " + command));
+        CHECK(commandHelp.output.find("--output FORMAT") != std::string::npos);
+    }
+}
+
+TEST_CASE("a command line that is not understood is a usage error that says why")
+{
+    struct BadLine {
+        std::vector<std::string> arguments;
+        std::string text;
+    };
+    const std::vector<BadLine> lines {
+        { {}, "no command given" },
+        { { "chekc" }, "\"chekc\" is not a command" },
+        { { "check" }, "check needs a service file" },
+        { { "check", "a.toml", "--outptu", "json" }, "unrecognised option '--outptu'" },
+        { { "check", "a.toml", "--out", "json" }, "unrecognised option '--out'" },
+        { { "check", "a.toml", "--output", "xml" }, "--output is \"xml\"; allowed: text or json" },
+        { { "check", "a.toml", "--timeout", "0" }, "--timeout is 0; allowed: 1 to 600000" },
+        { { "check", "a.toml", "--timeout", "soon" }, "the argument ('soon') for option '--timeout' is invalid" },
+        { { "publish", "a.toml" }, "publish needs --object-api URL" },
+        { { "publish", "--object-api", "platform:80", "a.toml" }, "--object-api is \"platform:80\"; allowed: http://IP:port" },
+        { { "publish", "--object-api", host, "--wait", "a.toml" }, "--entry-host URL is needed" },
+        { { "publish", "--object-api", host, "--wait-timeout", "9999", "a.toml" }, "--wait-timeout is 9999; allowed: 1 to 3600" },
+        { { "status" }, "--entry-host URL is needed" },
+        { { "status", "--entry-host", "gauteng" }, "--entry-host is \"gauteng\"" },
+        { { "account", "--entry-host", host }, "account needs the id of a request" },
+        { { "account", "--entry-host", host, "seven" }, "a request id has the form INCARNATION-SEQUENCE" },
+        { { "account", "--entry-host", host, requestId, requestId }, "too many positional options" },
+        { { "drain", "--entry-host", host }, "drain needs the name" },
+    };
+    for (const BadLine& line : lines) {
+        const Outcome outcome = run(line.arguments);
+        CHECK(outcome.code == ExitCode::Usage);
+        CHECK(outcome.output.empty());
+        CHECK_MESSAGE(outcome.errors.find(line.text) != std::string::npos, outcome.errors);
+    }
+}
+
+TEST_CASE("check passes the examples and refuses two files that claim one service")
+{
+    const Outcome good = run({ "check", "--settings", examples + "cehasa/hosts/gauteng-1a.toml", examples + "cehasa/services" });
+    CHECK_MESSAGE(good.code == ExitCode::Success, good.output);
+    CHECK(good.output == "4 files checked, 0 problems\n");
+
+    const Outcome named = run({ "check", examples + "cehasa/services", examples + "cehasa/services/ledger.toml" });
+    CHECK_MESSAGE(named.code == ExitCode::Success, named.output);
+
+    const Outcome alone = run({ "check", "--output", "json", examples + "zafran/services/orders.toml", "--settings", "no-such-file.toml" });
+    CHECK(alone.code == ExitCode::Invalid);
+    const auto report = nlohmann::json::parse(alone.output);
+    CHECK(report["files"] == 2);
+    REQUIRE(report["problems"].size() == 6);
+    CHECK(report["problems"][0]["key"] == "services[0].customer_limits[0].customer");
+    CHECK(report["problems"][0]["line"].get<int>() > 1);
+    CHECK(report["problems"][5]["file"] == "no-such-file.toml");
+}
+
+TEST_CASE("publish hands over files that are good, and sends nothing when one is not")
+{
+    MockOperatorApi api;
+    REQUIRE_CALL(api, publish(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .WITH(_1.objectApi == host && _2.size() == 3 && _1.common.timeout == std::chrono::milliseconds { 250 })
+        .RETURN(PublishReport { .revision = 8, .publishId = "p1", .settledByReadBack = true, .changedServices = { "ledger" } });
+    const Outcome good = run({ "publish", "--timeout", "250", "--object-api", host, examples + "cehasa/services" }, api);
+    CHECK(good.code == ExitCode::Success);
+    CHECK(good.output.starts_with("revision      8\npublish id    p1\nchanged       ledger\nnote"));
+
+    const Outcome bad = run({ "publish", "--object-api", host, examples + "cehasa/hosts/gauteng-1a.toml" }, api);
+    CHECK(bad.code == ExitCode::Invalid);
+    CHECK(bad.errors.find("nothing was published:\n") != std::string::npos);
+}
+
+TEST_CASE("publish --wait fails with a code of its own when some hosts lack the revision")
+{
+    MockOperatorApi api;
+    REQUIRE_CALL(api, publish(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .RETURN(PublishReport { .revision = 8, .spread = RevisionSpread { .inForce = 6, .liveHosts = 7 } });
+    const Outcome outcome = run({ "publish", "--object-api", host, "--entry-host", host, "--wait", examples + "cehasa/services" }, api);
+    CHECK(outcome.code == ExitCode::NotYet);
+    CHECK(outcome.output.find("in force      on 6 of 7 live hosts\n") != std::string::npos);
+}
+
+TEST_CASE("a refusal is shown with its code, as text or as JSON, and gives its exit code")
+{
+    MockOperatorApi api;
+    ALLOW_CALL(api, publish(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .SIDE_EFFECT(fail(_3, ResultCode::VersionConflict, "revision 9 won"))
+        .RETURN(std::nullopt);
+    ALLOW_CALL(api, account(trompeloeil::_, trompeloeil::_))
+        .SIDE_EFFECT(fail(_2, ResultCode::UnknownRequest, "no such request"))
+        .RETURN(std::nullopt);
+    const Outcome text = run({ "publish", "--object-api", host, examples + "cehasa/services" }, api);
+    CHECK(text.code == ExitCode::Refused);
+    CHECK(text.errors == "siskinctl: revision 9 won (501 version_conflict)\n");
+    const Outcome json = run({ "account", "--output", "json", "--entry-host", host, requestId }, api);
+    CHECK(json.code == ExitCode::NotFound);
+    CHECK(json.output == "{\"error\":{\"result_code\":108,\"result\":\"unknown_request\",\"detail\":\"no such request\"}}\n");
+    CHECK(exitCodeFor(ResultCode::StoreUnavailable) == ExitCode::Unavailable);
+}
+
+TEST_CASE("an account tells what became of the request")
+{
+    const AccountReport report { .requestId = requestId,
+        .service = "ledger",
+        .customer = "grip-depot",
+        .idempotencyKey = "hold-17",
+        .ended = true,
+        .result = ResultCode::OutcomeUnknown,
+        .run = RunState::MayHaveRun,
+        .accepted = WallTime { std::chrono::seconds { 1700000000 } },
+        .duration = std::chrono::milliseconds { 1250 },
+        .attempts = { { .backendServer = "ledger-01", .result = ResultCode::BackendStreamBroken, .run = RunState::MayHaveRun, .sinceAccepted = std::chrono::milliseconds { 3 } } } };
+    MockOperatorApi api;
+    ALLOW_CALL(api, account(trompeloeil::_, trompeloeil::_)).RETURN(report);
+    const Outcome text = run({ "account", "--entry-host", host, requestId }, api);
+    CHECK(text.code == ExitCode::Success);
+    CHECK(text.output == "request       gauteng-1a.00f3a1b2c4d5e6f7-7\nservice       ledger\ncustomer      grip-depot\nkey           hold-17\n"
+                         "accepted      2023-11-14 22:13:20 UTC\nresult        303 outcome_unknown\n"
+                         "meaning       The request may have run; ask the backend server for its record of the key.\nrun           may have run\n"
+                         "took          1250 ms\ntokens        0\nattempt 1     ledger-01 after 3 ms: 403 backend_stream_broken, may have run\n");
+    const auto json = nlohmann::json::parse(run({ "account", "--output", "json", "--entry-host", host, requestId }, api).output);
+    CHECK(json["run"] == "may_have_run");
+    CHECK(json["result_code"] == 303);
+    CHECK(json["accepted"] == "2023-11-14T22:13:20Z");
+    CHECK(json["attempts"][0]["result"] == "backend_stream_broken");
+}
+
+TEST_CASE("status and drain show what the entry host answered")
+{
+    MockOperatorApi api;
+    const SystemStatus status { .observer = "gauteng-1a",
+        .configurationRevision = 8,
+        .entryHosts = { { .name = "gauteng-1b", .failureDomain = "gauteng-1", .incarnation = "gauteng-1b.01", .state = "alive", .configurationRevision = 8, .openRequests = 3 } },
+        .backendServers = { { .name = "ledger-01", .pool = "ledger", .failureDomain = "gauteng-1", .state = "leaving", .openRequests = 1 } } };
+    ALLOW_CALL(api, status(trompeloeil::_, trompeloeil::_)).RETURN(status);
+    ALLOW_CALL(api, drain(trompeloeil::_, trompeloeil::_)).RETURN(DrainReport { .name = "ledger-01", .openRequests = 1 });
+    const Outcome text = run({ "status", "--entry-host", host }, api);
+    CHECK(text.output.find("gauteng-1b           gauteng-1        alive             8      3  gauteng-1b.01\n") != std::string::npos);
+    CHECK(text.output.find("ledger-01            gauteng-1        leaving         1  ledger\n") != std::string::npos);
+    const auto json = nlohmann::json::parse(run({ "status", "--output", "json", "--entry-host", host }, api).output);
+    CHECK(json["entry_hosts"][0]["open_requests"] == 3);
+    CHECK(json["backend_servers"][0]["state"] == "leaving");
+    const Outcome drain = run({ "drain", "--entry-host", host, "ledger-01" }, api);
+    CHECK(drain.code == ExitCode::Success);
+    CHECK(drain.output == "ledger-01 takes no new work; 1 open request left\n");
+    CHECK(run({ "drain", "--entry-host", host, "--wait", "ledger-01" }, api).code == ExitCode::NotYet);
+}
+
+} // namespace siskinspread
--- a/packages/settings/src/TextForms.cpp
+++ b/packages/settings/src/TextForms.cpp
@@ -1,5 +1,7 @@
 #include "TextForms.h"
 
+#include "siskinspread/Endpoint.h"
+
 #include <arpa/inet.h>
 
 #include <algorithm>
@@ -93,6 +95,11 @@
 
 } // namespace
 
+bool isHttpUrl(std::string_view text)
+{
+    return text.starts_with(httpScheme) && isIpAndPort(text.substr(httpScheme.size()));
+}
+
 bool hasForm(std::string_view text, schema::TextForm form)
 {
     switch (form) {
@@ -103,7 +110,7 @@
     case schema::IP_AND_PORT:
         return isIpAndPort(text);
     case schema::HTTP_URL:
-        return text.starts_with(httpScheme) && isIpAndPort(text.substr(httpScheme.size()));
+        return isHttpUrl(text);
     case schema::SHA256_HEX:
         return isSha256Hex(text);
     case schema::HTTP_METHOD:
