--- a/packages/settings/src/FieldRules.cpp
+++ b/packages/settings/src/FieldRules.cpp
@@ -188,6 +188,24 @@
     }
 }
 
+std::string describeDefault(const FieldDescriptor& field)
+{
+    if (ruleOf(field).required()) {
+        return "refused";
+    }
+    if (field.cpp_type() == FieldDescriptor::CPPTYPE_BOOL) {
+        return "false";
+    }
+    if (!ruleOf(field).has_default_number()) {
+        return "not used";
+    }
+    const double number = ruleOf(field).default_number();
+    if (field.cpp_type() == FieldDescriptor::CPPTYPE_ENUM) {
+        return "\"" + enumText(*field.enum_type()->FindValueByNumber(static_cast<int>(number))) + "\"";
+    }
+    return formatNumber(field, number);
+}
+
 bool inRange(const FieldDescriptor& field, double number)
 {
     return number >= smallest(field) && number <= largest(field);
--- a/packages/settings/src/FieldRules.h
+++ b/packages/settings/src/FieldRules.h
@@ -11,6 +11,9 @@
 /** @return what the rule and the type of a field allow, for messages. Thread safety: reentrant. */
 std::string describeAllowed(const google::protobuf::FieldDescriptor& field);
 
+/** @return "refused", or the value that stands in for an absent key, for the reference page. Thread safety: reentrant. */
+std::string describeDefault(const google::protobuf::FieldDescriptor& field);
+
 /** @return whether a number is inside the range of the field's rule and of its type. Thread safety: reentrant. */
 bool inRange(const google::protobuf::FieldDescriptor& field, double number);
 
--- /dev/null
+++ b/tools/SettingsTable.cpp
@@ -0,0 +1,45 @@
+// Prints docs/SETTINGS.md from the rules in the schema; scripts/results calls it.
+
+#include "siskinspread/SettingsReference.h"
+
+#include <iostream>
+
+namespace {
+
+constexpr const char* heading = R"(# Settings and service files
+
+Made by `scripts/results` from the rules in `schema/settings.proto` and `schema/service.proto`, whose comments say what
+each key is for; CI checks that it is current. An unknown key, a value of the wrong type, a number outside its range or
+values that contradict each other are refused with file, line, key and what is allowed. `a[].b` is the key `b` of each
+entry `[[a]]`. Files are at most one megabyte long.
+
+## Settings of a daemon
+
+)";
+
+constexpr const char* settingsContradictions = R"(
+Refused as contradictory: `listen.caller_port` and `listen.peer_port` alike; a peer with the name, the TCP endpoint or
+the UDP endpoint of this host or of another peer; `drain.grace_ms` below `platform.timeout_ms`, since the records of
+the last requests take at least one call to the platform.
+
+## Service files
+
+)";
+
+constexpr const char* serviceContradictions = R"(
+Refused as contradictory in one file: `progress_timeout_ms` below `first_token_target_ms`, or not above
+`between_tokens_target_ms`; both weights zero; a call, a customer's limit, or the name or address of a backend server
+that stands twice in a service; a file without services and customers.
+
+Refused as contradictory between files: two descriptions of one service, of one customer or of one key; a limit for a
+customer that no file describes; two services in one pool that differ in `kind` or `checks_fencing_numbers`; one name
+of a backend server with two addresses; one address in two pools, or with two names, failure domains or prices.
+)";
+
+} // namespace
+
+int main()
+{
+    std::cout << heading << siskinspread::settingsReference() << settingsContradictions
+              << siskinspread::serviceFileReference() << serviceContradictions;
+}
