Try at-most-once and accounts in a model of hosts, store and backend server

The model delivers messages late, twice, in any order or not at all, kills, restarts, pauses and cuts hosts, and lets any host take any slice at any time (wrong verdicts of death).

--- a/packages/decisions/src/AccountsLookup.cpp
+++ b/packages/decisions/src/AccountsLookup.cpp
@@ -69,7 +69,8 @@
         void read()
         {
             m_state.phase = LookupPhase::Reading;
-            m_state.reading = LogClosingState { .self = m_state.self, .purpose = ClosingPurpose::ReadOnly, .history = { .incarnation = current(), .records = {} } };
+            m_state.reading = LogClosingState { .self = m_state.self, .purpose = ClosingPurpose::ReadOnly, .history = {} };
+            m_state.reading.history.incarnation = current();
             advanceReading(StartClosing {});
         }
 
--- /dev/null
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -0,0 +1,410 @@
+#include "AtMostOnceModel.h"
+
+#include <algorithm>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr size_t hostCount = 3;
+    constexpr uint32_t keyCount = 8;
+    constexpr std::chrono::milliseconds requestTimeout { 5'000 };
+
+} // namespace
+
+AtMostOnceModel::AtMostOnceModel(bool naive, ModelCoverage& coverage)
+    : m_naive(naive)
+    , m_coverage(coverage)
+{
+    m_map.slices.resize(m_options.slices.sliceCount);
+    for (size_t host = 0; host < hostCount; ++host) {
+        m_hosts.push_back(start(host));
+    }
+    for (const Ref node : m_hosts) {
+        logEvent(node, CopyHolderChosen { .holder = nodeOf(node->host + 1)->log.self });
+    }
+    takeSlice(m_hosts[0], 0);
+    takeSlice(m_hosts[1], 1);
+    drain();
+}
+
+AtMostOnceModel::Ref AtMostOnceModel::start(size_t host)
+{
+    const IncarnationId id { "host" + std::to_string(host) + "." + std::to_string(m_nodes.size()) };
+    Node node;
+    node.host = host;
+    node.log.self = id;
+    node.owner.self = id;
+    node.holder.self = id;
+    m_nodes.push_back(std::move(node));
+    return std::prev(m_nodes.end());
+}
+
+AtMostOnceModel::Ref AtMostOnceModel::find(const IncarnationId& id)
+{
+    return std::find_if(m_nodes.begin(), m_nodes.end(), [&](const Node& node) { return node.log.self == id; });
+}
+
+void AtMostOnceModel::apply(const ModelStep& step)
+{
+    m_choice = step.second;
+    const Ref node = nodeOf(step.first);
+    const size_t index = m_messages.empty() ? 0 : step.first % m_messages.size();
+    switch (step.operation) {
+    case 0:
+        break;
+    case 1:
+    case 2:
+    case 3:
+    case 4:
+        request(node, step.second % keyCount, step.second % 16 == 15);
+        break;
+    case 5:
+    case 6:
+    case 7:
+        requestAtOwner(step.second % keyCount, step.first % m_options.slices.sliceCount);
+        break;
+    case 8:
+        lose(index, false);
+        break;
+    case 9:
+        lose(index, true);
+        break;
+    case 10:
+        repeatMessage(index);
+        break;
+    case 11:
+        node->alive = false;
+        break;
+    case 12:
+    case 13:
+        restart(node, step.second);
+        break;
+    case 14:
+        node->paused = true;
+        break;
+    case 15:
+    case 16:
+        node->paused = false;
+        break;
+    case 17:
+        m_storeCut.insert(node->host);
+        break;
+    case 18:
+    case 19:
+        m_storeCut.erase(node->host);
+        break;
+    case 20:
+        m_peerCut.insert(std::minmax(node->host, (node->host + 1) % hostCount));
+        break;
+    case 21:
+    case 22:
+        m_peerCut.erase(std::minmax(node->host, (node->host + 1) % hostCount));
+        break;
+    case 23:
+    case 24:
+        node->suspected.insert((node->host + 1 + step.second % 2) % hostCount);
+        takeSlice(node, step.second % m_options.slices.sliceCount);
+        break;
+    case 25:
+        if (!m_told.empty()) {
+            lookUp(std::next(m_told.begin(), static_cast<std::ptrdiff_t>(step.second % m_told.size()))->first);
+        }
+        break;
+    case 26:
+    case 27:
+    case 28:
+    case 29:
+        tick(std::chrono::milliseconds { step.first % 8 ? 120 : 1'500 });
+        break;
+    case 30:
+        chooseHolder(node, step.second);
+        break;
+    default:
+        deliver(index);
+        deliver(step.second);
+    }
+}
+
+void AtMostOnceModel::requestAtOwner(uint32_t keyNumber, uint32_t slice)
+{
+    const Ref owner = find(m_map.slices[slice].owner);
+    if (owner != m_nodes.end()) {
+        request(owner, keyNumber, false);
+    }
+}
+
+void AtMostOnceModel::repeatMessage(size_t index)
+{
+    if (!m_messages.empty() && m_messages[index].channel != Channel::Backend) {
+        m_messages.push_back(m_messages[index]);
+    }
+}
+
+void AtMostOnceModel::restart(Ref node, uint32_t choice)
+{
+    if (!node->alive) {
+        m_hosts[node->host] = start(node->host);
+        chooseHolder(m_hosts[node->host], choice);
+    }
+}
+
+void AtMostOnceModel::chooseHolder(Ref node, uint32_t choice)
+{
+    if (node->alive && !node->paused) {
+        logEvent(node, CopyHolderChosen { .holder = nodeOf(node->host + 1 + choice % 2)->log.self });
+    }
+}
+
+// Messages
+
+bool AtMostOnceModel::isCut(const Message& message) const
+{
+    if (message.channel == Channel::Store) {
+        return m_storeCut.contains(message.sender->host);
+    }
+    return message.channel == Channel::Peer && m_peerCut.contains(std::minmax(message.sender->host, message.receiver->host));
+}
+
+void AtMostOnceModel::deliver(size_t index)
+{
+    if (m_messages.empty()) {
+        return;
+    }
+    index %= m_messages.size();
+    const Message& next = m_messages[index];
+    const bool atNode = next.answer || next.channel == Channel::Peer;
+    if (atNode && next.receiver->alive && next.receiver->paused) {
+        return; // waits in the kernel's buffers until the host goes on
+    }
+    if (isCut(next)) {
+        lose(index, false);
+        return;
+    }
+    const Message message = std::move(m_messages[index]);
+    m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(index));
+    if (!atNode || message.receiver->alive) {
+        message.effect();
+    } else if (message.failed && message.sender->alive) {
+        message.failed();
+    }
+}
+
+void AtMostOnceModel::lose(size_t index, bool stillUnderWay)
+{
+    if (m_messages.empty()) {
+        return;
+    }
+    index %= m_messages.size();
+    const Message message = m_messages[index];
+    if (message.channel == Channel::Backend && !message.failed) {
+        return; // the sender's own timer
+    }
+    if (!stillUnderWay) {
+        m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    if (message.failed) {
+        // The sender's own timer: it works whatever is cut.
+        m_messages.push_back({ .sender = message.sender, .receiver = message.sender, .channel = Channel::Backend, .answer = true, .effect = message.failed, .failed = {} });
+    }
+}
+
+void AtMostOnceModel::toStore(Ref node, std::function<std::function<void()>()> effect, std::function<void()> failed)
+{
+    const auto atStore = [this, node, effect = std::move(effect), failed] {
+        m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Store, .answer = true, .effect = effect(), .failed = failed });
+    };
+    m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Store, .answer = false, .effect = atStore, .failed = failed });
+}
+
+void AtMostOnceModel::toPeer(Ref from, Ref to, std::function<void()> effect, std::function<void()> failed)
+{
+    m_messages.push_back({ .sender = from, .receiver = to, .channel = Channel::Peer, .answer = false, .effect = std::move(effect), .failed = std::move(failed) });
+}
+
+void AtMostOnceModel::tick(std::chrono::milliseconds by)
+{
+    m_now += by;
+    for (const Ref node : m_hosts) {
+        if (!node->alive || node->paused) {
+            continue;
+        }
+        logEvent(node, LogTick {});
+        ownerEvent(node, AtMostOnceTick {});
+        std::vector<IncarnationId> closing;
+        for (const auto& [incarnation, state] : node->closings) {
+            closing.push_back(incarnation);
+        }
+        for (const IncarnationId& incarnation : closing) {
+            closingEvent(node, incarnation, LogTick {});
+        }
+    }
+}
+
+// Requests
+
+void AtMostOnceModel::request(Ref node, uint32_t keyNumber, bool otherBody)
+{
+    if (!node->alive || node->paused) {
+        return;
+    }
+    const IdempotencyKey key { .customer = "customer", .text = "key" + std::to_string(keyNumber) };
+    if (m_naive) {
+        std::vector<IncarnationId> live;
+        for (const Ref other : m_hosts) {
+            if (other == node || (other->alive && !node->suspected.contains(other->host))) {
+                live.push_back(other->log.self);
+            }
+        }
+        if (naiveOwner(key, live) != node->log.self) {
+            return;
+        }
+    }
+    node->sequence = nextSequence(node->sequence, true);
+    const RequestId id { .incarnation = node->log.self, .sequence = node->sequence };
+    m_told[id].key = key;
+    ownerEvent(node, RequestArrived {
+                         .request = id,
+                         .key = key,
+                         .digest = { .high = 0, .low = otherBody ? 2U : 1U },
+                         .service = "booking",
+                         .entryHost = "entry",
+                         .deadline = now().monotonic + requestTimeout,
+                     });
+}
+
+void AtMostOnceModel::ownerEvent(Ref node, const AtMostOnceEvent& event)
+{
+    std::vector<AtMostOnceAction> actions;
+    if (m_naive) {
+        step(node->naive, m_options, event, actions);
+    } else {
+        step(node->owner, m_options, event, now(), actions);
+    }
+    for (const AtMostOnceAction& action : actions) {
+        perform(node, action);
+    }
+}
+
+void AtMostOnceModel::perform(Ref node, const AtMostOnceAction& action)
+{
+    if (const auto* intent = std::get_if<RecordIntent>(&action)) {
+        append(node, intent->entry.request, true, intent->entry);
+    } else if (const auto* outcome = std::get_if<RecordOutcome>(&action)) {
+        append(node, outcome->entry.account.request, false, outcome->entry);
+    } else if (const auto* account = std::get_if<RecordAccount>(&action)) {
+        append(node, {}, false, account->entry);
+    } else if (const auto* dispatched = std::get_if<DispatchRequest>(&action)) {
+        dispatch(node, *dispatched);
+    } else if (const auto* answer = std::get_if<AnswerRequest>(&action)) {
+        told(*answer);
+    }
+}
+
+void AtMostOnceModel::dispatch(Ref node, const DispatchRequest& action)
+{
+    const RequestId request = action.request;
+    const uint32_t attempt = action.attempt;
+    const auto atBackend = [this, node, request, attempt] {
+        Told& about = m_told[request];
+        AtMostOnceEvent event;
+        if (m_choice % 4 == 3) {
+            event = AttemptNotRun { .request = request, .attempt = attempt, .backendServer = "b", .reason = ResultCode::BackendRefused, .retryAllowed = attempt < 3 };
+        } else {
+            const bool added = m_effects.emplace(about.key, request).second;
+            if (!added) {
+                violate("a: the effect of " + about.key.text + " ran again for " + formatRequestId(request));
+            }
+            if (about.answer && about.answer->runState == RunState::NotRun) {
+                violate("b: " + formatRequestId(request) + " ran after it was told not run");
+            }
+            about.ran = true;
+            ++m_coverage.ran;
+            m_coverage.ranAfterLogClosed += std::any_of(m_batches.begin(), m_batches.end(), [&](const auto& batch) {
+                return batch.first.first == request.incarnation && closingEntry(batch.second);
+            })
+                ? 1
+                : 0;
+            event = AttemptAnswered { .request = request, .attempt = attempt, .backendServer = "b", .result = ResultCode::Ok, .httpStatus = 200, .response = formatRequestId(request) };
+        }
+        const auto arrived = [this, node, event] { ownerEvent(node, event); };
+        const auto lost = [this, node, request, attempt] { ownerEvent(node, AttemptUnknown { .request = request, .attempt = attempt, .backendServer = "b" }); };
+        m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Backend, .answer = true, .effect = arrived, .failed = lost });
+    };
+    const auto lost = [this, node, request, attempt] { ownerEvent(node, AttemptUnknown { .request = request, .attempt = attempt, .backendServer = "b" }); };
+    m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Backend, .answer = false, .effect = atBackend, .failed = lost });
+}
+
+void AtMostOnceModel::told(const AnswerRequest& answer)
+{
+    Told& about = m_told[answer.request];
+    if (about.answer) {
+        violate("c: two answers for " + formatRequestId(answer.request));
+    }
+    about.answer = answer;
+    if (answer.runState == RunState::NotRun && about.ran) {
+        violate("b: " + formatRequestId(answer.request) + " ran and was told not run");
+    }
+    const auto effect = m_effects.find(about.key);
+    if (answer.result == ResultCode::BackendRefused && effect != m_effects.end()) {
+        violate("b: the key of " + formatRequestId(answer.request) + " had run");
+    }
+    if (answer.result == ResultCode::Ok && (effect == m_effects.end() || answer.response != formatRequestId(effect->second))) {
+        violate("c: " + formatRequestId(answer.request) + " got another request's answer");
+    }
+    if (resultInfo(answer.result).retryable != answer.retryAfter.has_value()) {
+        violate("e: retry time of " + formatRequestId(answer.request));
+    }
+    m_coverage.replayed += answer.replayOf && answer.result == ResultCode::Ok ? 1 : 0;
+    m_coverage.unknown += answer.result == ResultCode::OutcomeUnknown ? 1 : 0;
+    m_coverage.notRun += answer.runState == RunState::NotRun ? 1 : 0;
+}
+
+void AtMostOnceModel::lookUp(const RequestId& request)
+{
+    const Ref asked = find(request.incarnation);
+    const bool reachable = asked->alive && !asked->paused;
+    AccountLookupState lookup;
+    std::vector<AccountLookupAction> actions;
+    step(lookup, {}, StartLookup { .query = { .request = request, .key = {} }, .candidates = {} }, now(), actions);
+    while (!std::holds_alternative<LookupDone>(actions.back())) {
+        const AccountLookupAction action = actions.back();
+        actions.clear();
+        AccountLookupEvent event = IncarnationSilent { .incarnation = request.incarnation };
+        if (const auto* ask = std::get_if<AskIncarnation>(&action); ask && reachable) {
+            event = IncarnationAnswered { .incarnation = ask->incarnation, .answer = accountFromOwner(asked->owner, ask->query) };
+        } else if (const auto* read = std::get_if<ReadBatch>(&action)) {
+            const auto found = m_batches.find({ read->incarnation, read->number });
+            event = LookupRead { BatchFound { .number = read->number, .batch = found == m_batches.end() ? std::nullopt : std::optional(found->second) } };
+        } else if (const auto* copy = std::get_if<ReadSealedCopy>(&action)) {
+            const auto found = m_sealed.find(copy->incarnation);
+            event = LookupRead { SealedCopyFound { .copy = found == m_sealed.end() ? std::nullopt : std::optional(found->second) } };
+        }
+        step(lookup, {}, event, now(), actions);
+    }
+    const AccountAnswer answer = std::get<LookupDone>(actions.back()).answer;
+    Told& about = m_told[request];
+    const bool historyLost = m_copied.contains(request) && m_sealed.contains(request.incarnation) && !m_sealed[request.incarnation].complete;
+    if (answer.standing == AccountStanding::Final) {
+        ++m_coverage.finalLookups;
+        if (about.account && !historyLost && about.account->account != answer.account) {
+            violate("c: two final accounts of " + formatRequestId(request));
+        }
+        about.account = answer;
+        if (answer.account.runState == RunState::Ran && about.answer && about.answer->runState == RunState::NotRun) {
+            violate("c: told not run, account ran: " + formatRequestId(request));
+        }
+        const bool answeredRan = about.answer && about.answer->runState == RunState::Ran && !about.answer->replayOf;
+        if (answeredRan && !historyLost && answer.account.runState != RunState::Ran) {
+            violate("c: answered and accounted otherwise: " + formatRequestId(request));
+        }
+    }
+    if (answer.account.runState == RunState::NotRun && answer.standing != AccountStanding::NotFound && about.ran) {
+        violate("b: account of " + formatRequestId(request) + " says not run");
+    }
+    if (answer.account.runState == RunState::Ran && !about.ran && !answer.account.replayOf) {
+        violate("c: account of " + formatRequestId(request) + " says ran");
+    }
+}
+
+} // namespace siskinspread
