--- a/benchmark/routing/Main.cpp
+++ b/benchmark/routing/Main.cpp
@@ -51,6 +51,8 @@
         { "comfortable-use", &contestant.routing.comfortableUse },
         { "replica-slack", &contestant.routing.replicaSlack },
         { "unseen-credit", &contestant.routing.unseenCredit },
+        { "others-share", &contestant.pool.othersShare },
+        { "hot-share", &contestant.routing.hotShare },
         { "doubt", &contestant.popularity.doubt },
         { "prior-count", &contestant.popularity.priorCount },
         { "overcommit", &contestant.overcommit },
--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -76,6 +76,8 @@
     double slowStartFloor { 0.2 }; /**< Share at the beginning of slow start, above zero. */
     double latencyGain { 0.2 }; /**< Weight of a new sample in a latency mean, in (0, 1]. */
     uint32_t minimumSamples { 5 };
+    double prefillTokensPerSecond { 8000 }; /**< Prompt tokens that a backend server computes in a second, above zero. */
+    double othersShare { 0.0 }; /**< Part of what the other hosts probably did that is added to this host's own changes; 0 to 1. */
     double slowTolerance { 1.4 }; /**< A server counts as slow from this multiple of the pool's median on. */
 };
 
@@ -135,8 +137,9 @@
 void refreshPoolView(PoolView& view, MonotonicTime now);
 
 /**
- * Last report plus what this host has dispatched and finished since, taken as one of `entryHosts` equal shares of
- * what all hosts have. Without a usable report: this host's requests in progress times the number of hosts.
+ * Last report plus what this host has dispatched and finished since, and a part of what the other hosts probably
+ * have. Queued prompt tokens drain at the server's rate from the time of the report on. Without a usable report: this
+ * host's requests in progress times the number of hosts.
  */
 EstimatedLoad estimateLoad(const PoolView& view, const BackendServerView& server, MonotonicTime now);
 
--- a/packages/decisions/src/PoolView.cpp
+++ b/packages/decisions/src/PoolView.cpp
@@ -32,6 +32,19 @@
         return server.report && now - server.report->sampledAt <= view.options.reportLifetime;
     }
 
+    /** Prompt tokens still to be computed at a time. */
+    struct PromptQueue {
+        double tokens { 0 };
+        MonotonicTime at;
+    };
+
+    void drain(PromptQueue& queue, double tokensPerSecond, MonotonicTime now)
+    {
+        const std::chrono::duration<double> passed = now - queue.at;
+        queue.tokens = std::max(0.0, queue.tokens - tokensPerSecond * passed.count());
+        queue.at = now;
+    }
+
     double slowStartShare(const PoolView& view, const BackendServerView& server, MonotonicTime now)
     {
         const std::chrono::duration<double> age = now - server.liveSince;
@@ -146,16 +159,20 @@
 EstimatedLoad estimateLoad(const PoolView& view, const BackendServerView& server, MonotonicTime now)
 {
     const double hosts = view.entryHosts;
+    const double factor = 1 + view.options.othersShare * (hosts - 1);
     if (!isFresh(view, server, now)) {
         return { .requests = server.ownInFlight * hosts, .queuedPromptTokens = 0 };
     }
     double requests = server.report->running + server.report->waiting;
-    double tokens = static_cast<double>(server.report->queuedPromptTokens);
+    PromptQueue queue { .tokens = static_cast<double>(server.report->queuedPromptTokens), .at = server.report->sampledAt };
+    const double rate = view.options.prefillTokensPerSecond / server.slowness;
     for (const OwnLoadChange& change : server.changesSinceReport) {
-        requests += change.requests * hosts;
-        tokens += static_cast<double>(change.promptTokens) * hosts;
+        requests += change.requests * factor;
+        drain(queue, rate, change.at);
+        queue.tokens += static_cast<double>(change.promptTokens) * factor;
     }
-    return { .requests = std::max(requests, static_cast<double>(server.ownInFlight)), .queuedPromptTokens = std::max(tokens, 0.0) };
+    drain(queue, rate, now);
+    return { .requests = std::max(requests, static_cast<double>(server.ownInFlight)), .queuedPromptTokens = queue.tokens };
 }
 
 double usableSlots(const PoolView& view, const BackendServerView& server, MonotonicTime now)
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -86,7 +86,7 @@
         for (const PrefixBlock block : request.blocks) {
             const PrefixUse use = prefixUse(view.popularity, block, now);
             const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
-            if (wanted < static_cast<double>(homes.size())) {
+            if (use.share < options.hotShare && wanted < static_cast<double>(homes.size())) {
                 narrowHomes(homes, static_cast<size_t>(wanted), block, view);
             }
             const double credit = use.count >= seenCount ? 1.0 : options.unseenCredit;
@@ -133,9 +133,9 @@
     }
 
     /** Time from dispatch until the server begins to compute the prompt. */
-    Milliseconds expectedWait(const Candidate& candidate, const BackendServerView& server, const RoutingOptions& options)
+    Milliseconds expectedWait(const Candidate& candidate, const BackendServerView& server, double prefillTokensPerSecond, const RoutingOptions& options)
     {
-        const std::chrono::duration<double> queue { candidate.load.queuedPromptTokens * server.slowness / options.prefillTokensPerSecond };
+        const std::chrono::duration<double> queue { candidate.load.queuedPromptTokens * server.slowness / prefillTokensPerSecond };
         const Milliseconds hold = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
         const double slots = std::max(candidate.slots, 1.0);
         const double excess = std::max(0.0, candidate.load.requests + 1 - slots);
@@ -165,8 +165,8 @@
     {
         const BackendServerView& server = view.servers[candidate.index];
         const double missing = std::max(0.0, request.promptTokens - cachedTokens(candidate, server, hints));
-        const Milliseconds computing = std::chrono::duration<double>(missing * server.slowness / options.prefillTokensPerSecond);
-        const Milliseconds wait = expectedWait(candidate, server, options);
+        const Milliseconds computing = std::chrono::duration<double>(missing * server.slowness / view.options.prefillTokensPerSecond);
+        const Milliseconds wait = expectedWait(candidate, server, view.options.prefillTokensPerSecond, options);
         const Milliseconds firstToken = wait + computing + Milliseconds(server.description.oneWayDelay) * 2;
         const Milliseconds answer = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
         const Milliseconds slowAnswer = answer * (server.slowness - 1);
