--- a/benchmark/routing/Main.cpp
+++ b/benchmark/routing/Main.cpp
@@ -52,15 +52,16 @@
         { "replica-slack", &contestant.routing.replicaSlack },
         { "unseen-credit", &contestant.routing.unseenCredit },
         { "others-share", &contestant.pool.othersShare },
+        { "cheap-part", &contestant.routing.cheapPart },
+        { "cheap-latency", &contestant.routing.cheapLatency },
         { "hot-share", &contestant.routing.hotShare },
-        { "doubt", &contestant.popularity.doubt },
-        { "prior-count", &contestant.popularity.priorCount },
         { "overcommit", &contestant.overcommit },
         { "reserved-share", &contestant.admissionOptions.reservedShare },
         { "slow-tolerance", &contestant.pool.slowTolerance },
         { "slow-start-floor", &contestant.pool.slowStartFloor },
     };
     const std::map<std::string, std::chrono::milliseconds*> times {
+        { "first-token-target", &contestant.routing.firstTokenTarget },
         { "full-batch-cost", &contestant.routing.fullBatchCost },
         { "price-spread", &contestant.routing.priceSpread },
         { "tie-spread", &contestant.routing.tieSpread },
--- a/benchmark/routing/Replay.cpp
+++ b/benchmark/routing/Replay.cpp
@@ -292,7 +292,7 @@
             }
             BackendServerView& server = host.view.servers[choice->index];
             if (request.attempts == 0) {
-                recordPrefix(host.view.popularity, request.blocks, m_events.now());
+                recordPrefix(host.view.popularity, request.blocks, admissionRequest(request).work, m_events.now());
             }
             recordDispatch(server, importCache ? 0 : choice->missingTokens, m_events.now());
             for (const PrefixBlock block : m_contestant.ownHints ? request.blocks : std::vector<PrefixBlock> {}) {
--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -77,7 +77,7 @@
     double latencyGain { 0.2 }; /**< Weight of a new sample in a latency mean, in (0, 1]. */
     uint32_t minimumSamples { 5 };
     double prefillTokensPerSecond { 8000 }; /**< Prompt tokens that a backend server computes in a second, above zero. */
-    double othersShare { 0.0 }; /**< Part of what the other hosts probably did that is added to this host's own changes; 0 to 1. */
+    double othersShare { 0.2 }; /**< Part of what the other hosts probably did that is added to this host's own changes; 0 to 1. */
     double slowTolerance { 1.4 }; /**< A server counts as slow from this multiple of the pool's median on. */
 };
 
--- a/packages/decisions/include/siskinspread/Routing.h
+++ b/packages/decisions/include/siskinspread/Routing.h
@@ -21,9 +21,12 @@
 struct RoutingOptions {
     RoutingWeights weights;
     double loadBound { 1.25 }; /**< A server's load relative to its share of the pool's, above 1. */
-    double comfortableUse { 0.6 }; /**< Part of the usable slots below which a server is never over its bound. */
-    double hotShare { 0.1 }; /**< A beginning with more than this part of the work may be on any server. */
-    double replicaSlack { 1.5 }; /**< Servers for a prefix relative to its share of the work. */
+    double comfortableUse { 1.0 }; /**< Part of the usable slots below which a server is never over its bound. */
+    double hotShare { 0.2 }; /**< A beginning with more than this part of the work may be on any server. */
+    double replicaSlack { 1.25 }; /**< Servers for a prefix relative to its share of the work. */
+    std::chrono::milliseconds firstTokenTarget { 1400 }; /**< The service's latency target. */
+    double cheapPart { 0.4 }; /**< Part of the target up to which time to first token costs little. */
+    double cheapLatency { 0.2 }; /**< Cost of that time relative to the time beyond it. */
     std::chrono::milliseconds expectedBetweenTokens { 30 };
     std::chrono::milliseconds priceSpread { 20 }; /**< Latency given up for a server at half the pool's mean price. */
     uint32_t expectedOutputTokens { 200 }; /**< For estimating how long a queued request waits for a slot. */
--- a/packages/decisions/include/siskinspread/RoutingPrefix.h
+++ b/packages/decisions/include/siskinspread/RoutingPrefix.h
@@ -26,33 +26,37 @@
 uint64_t rendezvousWeight(PrefixBlock block, uint64_t serverNameHash);
 
 /**
- * How often each prefix block was seen lately: a direct-mapped table of exponentially decaying counts with fixed
- * memory. Two blocks in one place: the one with the larger count stays. Plain data: the owner serialises access.
+ * How much work began with each prefix block lately: a direct-mapped table of exponentially decaying sums with fixed
+ * memory. Two blocks in one place: the one with the larger sum stays. Plain data: the owner serialises access.
  */
 struct PrefixPopularity {
     struct Entry {
         PrefixBlock block { 0 };
-        float count { 0 };
+        float work { 0 };
         MonotonicTime at;
     };
     std::chrono::milliseconds halfLife { 60000 };
-    double doubt { 1.0 }; /**< Standard deviations by which a share is estimated low. */
-    double priorCount { 20 }; /**< Requests of other beginnings that are taken as seen before. */
     std::vector<Entry> entries; /**< Empty or a power of two; made at the first record. */
     Entry total;
 };
 
-/** Counts one request with these blocks. Call it after the request has been routed. */
-void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now);
+/**
+ * Counts one request with these blocks. Call it after the request has been routed.
+ * @param work what the request costs a backend server, above zero; any unit, for example prompt tokens.
+ */
+void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, double work, MonotonicTime now);
 
 /** Recent use of a prefix block. */
 struct PrefixUse {
-    double count { 0 }; /**< Decayed count; 0 when nothing is known. */
-    double share { 0 }; /**< Part, 0 to 1, of all recent requests, estimated low while the count is small. */
+    bool seen { false }; /**< Some recent request of this host began with it. */
+    double share { 0 }; /**< Part, 0 to 1, of all recent work. */
 };
 
-/** @return the recent use of the block, without the request at hand unless it was recorded before. */
-PrefixUse prefixUse(const PrefixPopularity& popularity, PrefixBlock block, MonotonicTime now);
+/**
+ * @return the recent use of each block of a prompt. A beginning is used at least as often as any longer one, which
+ * makes up for blocks that lost their place in the table.
+ */
+std::vector<PrefixUse> prefixUses(const PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now);
 
 /**
  * Which backend servers hold which prefix block, as far as cache events and this host's own dispatches tell. Events
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -11,7 +11,6 @@
 
     constexpr double missedDeadlineCost = 1e7; // milliseconds; above any other cost
     constexpr size_t maximumHints = 8;
-    constexpr double seenCount = 0.25; // a request two half lives ago
 
     /** What is known about one usable server for one request. */
     struct Candidate {
@@ -83,13 +82,15 @@
             homes.push_back(&candidate);
         }
         const double servers = static_cast<double>(pool.candidates.size());
-        for (const PrefixBlock block : request.blocks) {
-            const PrefixUse use = prefixUse(view.popularity, block, now);
+        const std::vector<PrefixUse> uses = prefixUses(view.popularity, request.blocks, now);
+        for (size_t i = 0; i < request.blocks.size(); ++i) {
+            const PrefixBlock block = request.blocks[i];
+            const PrefixUse& use = uses[i];
             const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
             if (use.share < options.hotShare && wanted < static_cast<double>(homes.size())) {
                 narrowHomes(homes, static_cast<size_t>(wanted), block, view);
             }
-            const double credit = use.count >= seenCount ? 1.0 : options.unseenCredit;
+            const double credit = use.seen ? 1.0 : options.unseenCredit;
             for (Candidate* home : homes) {
                 home->homeTokens += credit * request.tokensPerBlock;
             }
@@ -156,6 +157,13 @@
         return Milliseconds(options.tieSpread) * part;
     }
 
+    /** Time far inside the target is worth little; what counts is to stay inside it. */
+    Milliseconds latencyCost(Milliseconds firstToken, const RoutingOptions& options)
+    {
+        const Milliseconds cheap = std::min(firstToken, Milliseconds(options.firstTokenTarget) * options.cheapPart);
+        return cheap * options.cheapLatency + (firstToken - cheap);
+    }
+
     struct Scored {
         double cost { 0 };
         RouteChoice choice;
@@ -171,7 +179,7 @@
         const Milliseconds answer = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
         const Milliseconds slowAnswer = answer * (server.slowness - 1);
         const Milliseconds crowding = Milliseconds(options.fullBatchCost) * (candidate.load.requests / std::max(candidate.slots, 1.0));
-        const Milliseconds latency = firstToken + slowAnswer + crowding + priceCost(server, pool, options) + tieBreak(server, request, options);
+        const Milliseconds latency = latencyCost(firstToken, options) + slowAnswer + crowding + priceCost(server, pool, options) + tieBreak(server, request, options);
 
         double cost = options.weights.latencyBoundCost * latency.count() + options.weights.recomputedTokens * computing.count();
         if (now + std::chrono::ceil<MonotonicTime::duration>(firstToken) > request.deadline) {
--- a/packages/decisions/src/RoutingPrefix.cpp
+++ b/packages/decisions/src/RoutingPrefix.cpp
@@ -17,12 +17,12 @@
     float decayed(const PrefixPopularity& popularity, const PrefixPopularity::Entry& entry, MonotonicTime now)
     {
         const Seconds age = now - entry.at;
-        return entry.count * static_cast<float>(std::exp2(-age / Seconds(popularity.halfLife)));
+        return entry.work * static_cast<float>(std::exp2(-age / Seconds(popularity.halfLife)));
     }
 
-    void addCount(const PrefixPopularity& popularity, PrefixPopularity::Entry& entry, MonotonicTime now)
+    void addWork(const PrefixPopularity& popularity, PrefixPopularity::Entry& entry, double work, MonotonicTime now)
     {
-        entry.count = decayed(popularity, entry, now) + 1;
+        entry.work = decayed(popularity, entry, now) + static_cast<float>(work);
         entry.at = now;
     }
 
@@ -63,35 +63,37 @@
     return XXH3_64bits_withSeed(&block, sizeof block, serverNameHash);
 }
 
-void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now)
+void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, double work, MonotonicTime now)
 {
     if (popularity.entries.empty()) {
         popularity.entries.resize(popularityEntries);
     }
-    addCount(popularity, popularity.total, now);
+    addWork(popularity, popularity.total, work, now);
     for (const PrefixBlock block : blocks) {
         PrefixPopularity::Entry& entry = popularity.entries[block & (popularity.entries.size() - 1)];
         if (entry.block == block) {
-            addCount(popularity, entry, now);
-        } else if (decayed(popularity, entry, now) < 1) {
-            entry = { .block = block, .count = 1, .at = now };
+            addWork(popularity, entry, work, now);
+        } else if (decayed(popularity, entry, now) < work) {
+            entry = { .block = block, .work = static_cast<float>(work), .at = now };
         }
     }
 }
 
-PrefixUse prefixUse(const PrefixPopularity& popularity, PrefixBlock block, MonotonicTime now)
+std::vector<PrefixUse> prefixUses(const PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now)
 {
+    std::vector<PrefixUse> uses(blocks.size());
     if (popularity.entries.empty()) {
-        return {};
+        return uses;
     }
-    const PrefixPopularity::Entry& entry = popularity.entries[block & (popularity.entries.size() - 1)];
-    if (entry.block != block) {
-        return {};
-    }
-    const double count = decayed(popularity, entry, now);
     const double total = decayed(popularity, popularity.total, now);
-    const double low = std::max(0.0, count - popularity.doubt * std::sqrt(count));
-    return { .count = count, .share = low / (total + popularity.priorCount) };
+    PrefixUse longer;
+    for (size_t i = blocks.size(); i > 0; --i) {
+        const PrefixPopularity::Entry& entry = popularity.entries[blocks[i - 1] & (popularity.entries.size() - 1)];
+        const double work = entry.block == blocks[i - 1] ? decayed(popularity, entry, now) : 0.0;
+        longer = { .seen = longer.seen || work > 0, .share = std::max(longer.share, work / total) };
+        uses[i - 1] = longer;
+    }
+    return uses;
 }
 
 void recordCached(CachedPrefixes& cached, PrefixBlock block, uint64_t serverNameHash, MonotonicTime at)
