Serve one request through the whole path

A caller's streamed request goes through an entry host to a stand-in engine and back; siskinctl publishes the configuration into the stand-in object API, whose watch the hosts wait on; the account of the request is read at a host of another failure domain from the incarnation log.

--- a/packages/ctl/main/Main.cpp
+++ b/packages/ctl/main/Main.cpp
@@ -1,37 +1,36 @@
 // siskinctl: the command-line client for operators and support engineers.
 
+#include "siskinspread/NetworkOperatorApi.h"
 #include "siskinspread/RunCommand.h"
 
+#include <cstdio>
+#include <cstdlib>
 #include <iostream>
+#include <random>
 #include <string>
 #include <vector>
 
-namespace siskinspread {
-
 namespace {
 
-    /** Answers for the commands that need the network while no client for it is linked in. */
-    class UnavailableOperatorApi final : public OperatorApi {
-    public:
-        std::optional<PublishReport> publish(const PublishArguments&, std::span<const ServiceDocument>, LastReason& reason) override { return unavailable(reason); }
-        std::optional<SystemStatus> status(const StatusArguments&, LastReason& reason) override { return unavailable(reason); }
-        std::optional<AccountReport> account(const AccountArguments&, LastReason& reason) override { return unavailable(reason); }
-        std::optional<DrainReport> drain(const DrainArguments&, LastReason& reason) override { return unavailable(reason); }
+std::string drawPublishId()
+{
+    std::random_device device;
+    char digits[40];
+    std::snprintf(digits, sizeof digits, "%08x%08x%08x%08x", device(), device(), device(), device());
+    return digits;
+}
 
-    private:
-        static std::nullopt_t unavailable(LastReason& reason)
-        {
-            return fail(reason, ResultCode::InternalError, "this build has no network client; only check works");
-        }
-    };
+std::string publisherName()
+{
+    const char* user = std::getenv("USER");
+    return user ? user : "operator";
+}
 
 } // namespace
 
-} // namespace siskinspread
-
 int main(int argumentCount, char** arguments)
 {
     const std::vector<std::string> words { arguments + 1, arguments + argumentCount };
-    siskinspread::UnavailableOperatorApi api;
+    siskinspread::NetworkOperatorApi api { publisherName(), drawPublishId };
     return static_cast<int>(siskinspread::runCommand(words, api, { .output = std::cout, .errors = std::cerr }));
 }
--- /dev/null
+++ b/packages/ctl/src/NetworkOperatorApi.cpp
@@ -0,0 +1,118 @@
+#include "siskinspread/NetworkOperatorApi.h"
+
+#include "PublishImage.h"
+#include "Publisher.h"
+
+#include <nlohmann/json.hpp>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr int statusOk = 200;
+    constexpr int statusNotFound = 404;
+
+    /** Asks the entry hosts in turn. @return the first answer, or nothing with BackendConnectFailed. */
+    std::optional<TransferEnded> askEntryHosts(const std::vector<std::string>& entryHosts, const std::string& path, std::chrono::milliseconds timeout, LastReason& reason)
+    {
+        std::string detail = "no entry host answered:";
+        for (const std::string& host : entryHosts) {
+            TransferEnded ended = performTransfer({ .url = host + path, .headers = {}, .body = {}, .connectTimeout = timeout, .totalTimeout = timeout });
+            if (ended.end == TransferEnd::Complete) {
+                return ended;
+            }
+            detail += " " + host + " (" + ended.detail + ")";
+        }
+        return fail(reason, ResultCode::BackendConnectFailed, detail);
+    }
+
+    std::optional<nlohmann::json> askForJson(const std::vector<std::string>& entryHosts, const std::string& path, std::chrono::milliseconds timeout, LastReason& reason)
+    {
+        const auto answer = askEntryHosts(entryHosts, path, timeout, reason);
+        if (!answer) {
+            return std::nullopt;
+        }
+        auto document = nlohmann::json::parse(answer->body, nullptr, false);
+        if (answer->status == statusNotFound) {
+            return fail(reason, ResultCode::UnknownRequest, "no such request is known");
+        }
+        if (answer->status != statusOk || !document.is_object()) {
+            return fail(reason, ResultCode::BackendError, "an entry host answered with status " + std::to_string(answer->status));
+        }
+        return document;
+    }
+
+    RunState runStateOf(const std::string& name)
+    {
+        for (const RunState state : { RunState::NotRun, RunState::Ran }) {
+            if (runStateName(state) == name) {
+                return state;
+            }
+        }
+        return RunState::MayHaveRun;
+    }
+
+    AccountReport accountOf(const nlohmann::json& document)
+    {
+        AccountReport report;
+        report.requestId = document.value("request_id", "");
+        report.service = document.value("service", "");
+        report.customer = document.value("customer", "");
+        report.idempotencyKey = document.value("idempotency_key", "");
+        report.ended = document.value("standing", "") == "final";
+        report.result = static_cast<ResultCode>(document.value("code", 0));
+        report.run = runStateOf(document.value("run_state", ""));
+        for (const auto& server : document.value("backend_servers", nlohmann::json::array())) {
+            report.attempts.push_back({ .backendServer = server.get<std::string>() });
+        }
+        return report;
+    }
+
+} // namespace
+
+NetworkOperatorApi::NetworkOperatorApi(std::string publisher, std::function<std::string()> drawPublishId)
+    : m_publisher(std::move(publisher))
+    , m_drawPublishId(std::move(drawPublishId))
+{
+}
+
+std::optional<PublishReport> NetworkOperatorApi::publish(const PublishArguments& arguments, std::span<const ServiceDocument> documents, LastReason& reason)
+{
+    const PublisherOptions options { .store = { .url = arguments.objectApi, .timeout = arguments.common.timeout }, .plan = {} };
+    const PublishRequest request { .publishId = m_drawPublishId(), .publisher = m_publisher, .files = contentOf(documents) };
+    return publishConfiguration(performTransfer, options, request, reason);
+}
+
+std::optional<SystemStatus> NetworkOperatorApi::status(const StatusArguments& arguments, LastReason& reason)
+{
+    const auto document = askForJson(arguments.entryHosts, "/operator/status", arguments.common.timeout, reason);
+    if (!document) {
+        return std::nullopt;
+    }
+    SystemStatus status;
+    status.observer = document->value("observer", "");
+    status.configurationRevision = document->value("configuration_revision", uint64_t { 0 });
+    for (const auto& host : document->value("entry_hosts", nlohmann::json::array())) {
+        status.entryHosts.push_back({ .name = host.value("name", ""), .failureDomain = host.value("failure_domain", ""), .incarnation = host.value("incarnation", ""), .state = host.value("state", ""), .configurationRevision = host.value("configuration_revision", uint64_t { 0 }), .openRequests = host.value("open_requests", 0U) });
+    }
+    for (const auto& server : document->value("backend_servers", nlohmann::json::array())) {
+        status.backendServers.push_back({ .name = server.value("name", ""), .pool = server.value("pool", ""), .failureDomain = server.value("failure_domain", ""), .state = server.value("state", ""), .openRequests = server.value("open_requests", 0U) });
+    }
+    return status;
+}
+
+std::optional<AccountReport> NetworkOperatorApi::account(const AccountArguments& arguments, LastReason& reason)
+{
+    const auto document = askForJson(arguments.entryHosts, "/operator/accounts/" + arguments.requestId, arguments.common.timeout, reason);
+    if (!document) {
+        return std::nullopt;
+    }
+    return accountOf(*document);
+}
+
+std::optional<DrainReport> NetworkOperatorApi::drain(const DrainArguments&, LastReason& reason)
+{
+    return fail(reason, ResultCode::InternalError, "an entry host drains on SIGTERM; draining by command is not available yet");
+}
+
+} // namespace siskinspread
--- a/packages/daemon/include/siskinspread/CallerRoutes.h
+++ b/packages/daemon/include/siskinspread/CallerRoutes.h
@@ -6,6 +6,7 @@
 #include "siskinspread/ModelRequests.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServicePools.h"
+#include "siskinspread/Target.h"
 
 #include <functional>
 #include <string>
@@ -13,18 +14,6 @@
 
 namespace siskinspread {
 
-/** A request target cut into its path and its query. */
-struct Target {
-    std::string_view path;
-    std::string_view query;
-};
-
-/** @return the parts of a request target; views into it. Thread safety: reentrant. */
-Target splitTarget(std::string_view target);
-
-/** @return the value of a query parameter with percent escapes resolved, or nothing. Thread safety: reentrant. */
-std::optional<std::string> queryParameter(std::string_view query, std::string_view name);
-
 /**
  * Finds out what a caller's request asks for, checks who asks, and passes it on.
  * Thread safety: decide thread only.
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -3,9 +3,11 @@
 #include "WakeSignal.h"
 #include "siskinspread/AccountLookups.h"
 #include "siskinspread/CallerRoutes.h"
+#include "siskinspread/ConfigurationCodec.h"
 #include "siskinspread/ConfigurationWatch.h"
 #include "siskinspread/LogWriter.h"
 #include "siskinspread/ModelRequests.h"
+#include "siskinspread/OperatorRoutes.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServerChannel.h"
 #include "siskinspread/ServicePools.h"
@@ -54,6 +56,11 @@
         };
     }
 
+    HttpServerOptions peerOptions(const schema::Settings& settings)
+    {
+        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()) };
+    }
+
     LogLevel logLevel(schema::LogSettings::Level level)
     {
         switch (level) {
@@ -83,7 +90,7 @@
     {
         readClocks();
         const auto port = m_callers.start(reason);
-        if (!port) {
+        if (!port || !m_peerCallers.start(reason)) {
             return false;
         }
         m_backendServers.startClient();
@@ -97,6 +104,7 @@
         }
         m_log.write({ .level = LogLevel::Info, .message = "host stopped" });
         m_callers.stop();
+        m_peerCallers.stop();
         m_backendServers.stopClient();
         m_platform.stopClient();
         m_peers.stopClient();
@@ -132,12 +140,14 @@
         m_wake.waitUntil(wakeAt);
         readClocks();
         takeCallerEvents();
+        takePeerEvents();
         m_backendServers.dispatchEvents();
         m_platform.dispatchEvents();
         m_peers.dispatchEvents();
         m_timers.run(m_context.now);
         m_writer.tick();
         m_callers.flush();
+        m_peerCallers.flush();
         advanceStop();
     }
 
@@ -152,6 +162,16 @@
         }
     }
 
+    void takePeerEvents()
+    {
+        while (const auto event = m_peerCallers.next()) {
+            const auto* request = std::get_if<IncomingRequest>(event.get());
+            if (request && !m_operators.handle(*request)) {
+                sendRefusal(m_context, m_peerCallers, request->exchange, "", { .code = ResultCode::UnknownPath });
+            }
+        }
+    }
+
     void scheduleRefresh()
     {
         m_pools.refresh();
@@ -223,6 +243,7 @@
     std::atomic<bool> m_stopRequested { false };
     const size_t m_ringCapacity { m_settings.limits().ring_capacity() };
     ServerChannel m_callers { callerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
+    ServerChannel m_peerCallers { peerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
     TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers) };
     TransferRouter m_platform { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPlatform) };
     TransferRouter m_peers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPeers) };
@@ -231,7 +252,7 @@
         .incarnation = drawIncarnation(m_settings.host().name()),
         .seed = drawSeed(),
         .callers = m_callers,
-        .peerCallers = m_callers,
+        .peerCallers = m_peerCallers,
         .backendServers = m_backendServers,
         .platform = m_platform,
         .peers = m_peers,
@@ -247,6 +268,7 @@
     AccountLookups m_accounts { m_context, m_timers, m_store, [this](const AccountQuery& query) { return localAccount(query); },
         [](const IncarnationId&, const AccountQuery&, const std::function<void(std::optional<AccountAnswer>)>& done) { done(std::nullopt); } };
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .accounts = m_accounts, .log = m_writer } };
+    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [](const IdempotencyKey&) { return std::vector<IncarnationId> {}; } } };
     ConfigurationWatch m_watch { m_context, m_timers, m_store, [this](const std::string& content) { onConfiguration(content); } };
     MonotonicTime m_graceEnds {};
     MonotonicTime m_closingEnds {};
--- a/packages/daemon/src/ModelRequests.cpp
+++ b/packages/daemon/src/ModelRequests.cpp
@@ -145,7 +145,7 @@
     }
     BackendServerView& server = pool.view.servers[choice->index];
     recordDispatch(server, choice->missingTokens, m_context.now);
-    recordPrefix(pool.view.popularity, request.blocks, static_cast<float>(request.promptTokens), m_context.now);
+    recordPrefix(pool.view.popularity, request.blocks, request.promptTokens, m_context.now);
     if (!request.attempts) {
         depositRetryTokens(pool.retries, request.customer, m_context.now);
     }
--- /dev/null
+++ b/packages/daemon/src/OperatorRoutes.cpp
@@ -0,0 +1,113 @@
+#include "siskinspread/OperatorRoutes.h"
+
+#include "siskinspread/CallerResponse.h"
+#include "siskinspread/Target.h"
+
+#include <nlohmann/json.hpp>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr std::string_view accountsPath = "/operator/accounts";
+    constexpr int statusOk = 200;
+
+    std::string_view statusName(BackendStatus status)
+    {
+        switch (status) {
+        case BackendStatus::Joining:
+            return "joining";
+        case BackendStatus::Live:
+            return "live";
+        case BackendStatus::Leaving:
+            return "leaving";
+        case BackendStatus::Gone:
+            break;
+        }
+        return "gone";
+    }
+
+} // namespace
+
+OperatorRoutes::OperatorRoutes(HostContext& context, Parts parts)
+    : m_context(context)
+    , m_parts(std::move(parts))
+{
+}
+
+bool OperatorRoutes::handle(const IncomingRequest& request)
+{
+    const Target target = splitTarget(request.target);
+    if (target.path == "/operator/status") {
+        sendJson(request.exchange, statusOk, statusJson());
+        return true;
+    }
+    if (target.path.starts_with(accountsPath)) {
+        handleAccount(request);
+        return true;
+    }
+    return false;
+}
+
+void OperatorRoutes::handleAccount(const IncomingRequest& request)
+{
+    const Target target = splitTarget(request.target);
+    if (target.path.size() > accountsPath.size() + 1) {
+        LastReason reason;
+        const auto id = parseRequestId(target.path.substr(accountsPath.size() + 1), reason);
+        if (!id) {
+            sendRefusal(m_context, m_context.peerCallers, request.exchange, "", { .code = reason.code, .detail = reason.detail });
+            return;
+        }
+        lookUp(request.exchange, { .request = *id }, {});
+        return;
+    }
+    const auto key = queryParameter(target.query, "key");
+    const auto customer = queryParameter(target.query, "customer");
+    if (!key || !customer) {
+        sendRefusal(m_context, m_context.peerCallers, request.exchange, "", { .code = ResultCode::MalformedRequest, .detail = "use /operator/accounts/REQUEST-ID or /operator/accounts?customer=C&key=KEY" });
+        return;
+    }
+    const IdempotencyKey query { .customer = *customer, .text = *key };
+    lookUp(request.exchange, { .key = query }, m_parts.ownersOfKey(query));
+}
+
+void OperatorRoutes::lookUp(ExchangeId exchange, const AccountQuery& query, std::vector<IncarnationId> candidates)
+{
+    m_parts.accounts.start(query, std::move(candidates), [this, exchange](const AccountAnswer& answer) {
+        const int status = answer.standing == AccountStanding::NotFound ? resultInfo(ResultCode::UnknownRequest).httpStatus : statusOk;
+        sendJson(exchange, status, accountJson(answer));
+    });
+}
+
+std::string OperatorRoutes::statusJson() const
+{
+    nlohmann::json servers = nlohmann::json::array();
+    for (const auto& [name, pool] : m_parts.pools.services()) {
+        for (const BackendServerView& server : pool->view.servers) {
+            servers.push_back({ { "name", server.description.name }, { "pool", pool->service.pool() }, { "failure_domain", server.description.failureDomain }, { "state", statusName(server.status) }, { "open_requests", server.ownInFlight } });
+        }
+    }
+    const nlohmann::json self {
+        { "name", m_context.settings.host().name() },
+        { "failure_domain", m_context.settings.host().failure_domain() },
+        { "incarnation", m_context.incarnation.text },
+        { "state", "live" },
+        { "configuration_revision", m_parts.pools.revision() },
+        { "open_requests", m_parts.requests.openCount() },
+    };
+    const nlohmann::json status {
+        { "observer", m_context.settings.host().name() },
+        { "configuration_revision", m_parts.pools.revision() },
+        { "entry_hosts", nlohmann::json::array({ self }) },
+        { "backend_servers", servers },
+    };
+    return status.dump();
+}
+
+void OperatorRoutes::sendJson(ExchangeId exchange, int status, std::string body)
+{
+    m_context.peerCallers.send(RespondWhole { .exchange = exchange, .status = status, .headers = { { .name = "Content-Type", .value = "application/json" } }, .body = std::move(body) });
+}
+
+} // namespace siskinspread
