--- a/packages/ctl/src/NetworkOperatorApi.cpp
+++ b/packages/ctl/src/NetworkOperatorApi.cpp
@@ -59,7 +59,7 @@
         report.service = document.value("service", "");
         report.customer = document.value("customer", "");
         report.idempotencyKey = document.value("idempotency_key", "");
-        report.ended = document.value("standing", "") == "final";
+        report.ended = document.contains("finished_at") && !document["finished_at"].is_null();
         report.result = static_cast<ResultCode>(document.value("code", 0));
         report.run = runStateOf(document.value("run_state", ""));
         for (const auto& server : document.value("backend_servers", nlohmann::json::array())) {
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -8,6 +8,8 @@
 #include "siskinspread/LogWriter.h"
 #include "siskinspread/ModelRequests.h"
 #include "siskinspread/OperatorRoutes.h"
+#include "siskinspread/PeerAccounts.h"
+#include "siskinspread/PeerCalls.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServerChannel.h"
 #include "siskinspread/ServicePools.h"
@@ -166,7 +168,7 @@
     {
         while (const auto event = m_peerCallers.next()) {
             const auto* request = std::get_if<IncomingRequest>(event.get());
-            if (request && !m_operators.handle(*request)) {
+            if (request && !m_peerCalls.handle(*request) && !m_operators.handle(*request)) {
                 sendRefusal(m_context, m_peerCallers, request->exchange, "", { .code = ResultCode::UnknownPath });
             }
         }
@@ -265,8 +267,10 @@
     RequestRegister m_requests { m_context, m_writer };
     ServicePools m_pools { m_context };
     ModelRequests m_models { m_context, m_timers, m_pools, m_requests };
+    PeerCalls m_peerCalls { m_context };
+    PeerAccounts m_peerAccounts { m_context, m_peerCalls, [this](const AccountQuery& query) { return localAccount(query); } };
     AccountLookups m_accounts { m_context, m_timers, m_store, [this](const AccountQuery& query) { return localAccount(query); },
-        [](const IncarnationId&, const AccountQuery&, const std::function<void(std::optional<AccountAnswer>)>& done) { done(std::nullopt); } };
+        [this](const IncarnationId& incarnation, const AccountQuery& query, PeerAccounts::Done done) { m_peerAccounts.ask(incarnation, query, std::move(done)); } };
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .accounts = m_accounts, .log = m_writer } };
     OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [](const IdempotencyKey&) { return std::vector<IncarnationId> {}; } } };
     ConfigurationWatch m_watch { m_context, m_timers, m_store, [this](const std::string& content) { onConfiguration(content); } };
--- a/packages/daemon/src/LogWriter.cpp
+++ b/packages/daemon/src/LogWriter.cpp
@@ -2,11 +2,32 @@
 
 #include "siskinspread/RecordCodec.h"
 
+#include <algorithm>
+
 namespace siskinspread {
 
+namespace {
+
+    // Shares of the store's several hundred writes a second, for entries that nobody waits for and for those that somebody does.
+    constexpr double lazyWritesPerSecond = 40;
+    constexpr double urgentWritesPerSecond = 160;
+    constexpr std::chrono::milliseconds shortestLazyInterval { 2000 };
+    constexpr std::chrono::milliseconds shortestUrgentInterval { 20 };
+
+    IncarnationLogOptions optionsFor(size_t hosts, size_t owners)
+    {
+        IncarnationLogOptions options;
+        options.lazyInterval = std::max(shortestLazyInterval, writeInterval(lazyWritesPerSecond, hosts));
+        options.urgentInterval = std::max(shortestUrgentInterval, writeInterval(urgentWritesPerSecond, owners));
+        return options;
+    }
+
+} // namespace
+
 LogWriter::LogWriter(HostContext& context, const ObjectApiOptions& store)
     : m_context(context)
     , m_store(store)
+    , m_options(optionsFor(static_cast<size_t>(context.settings.peers_size()) + 1, static_cast<size_t>(context.settings.peers_size()) + 1))
 {
     m_state.self = context.incarnation;
 }
