--- a/packages/ctl/include/siskinspread/CommandLine.h
+++ b/packages/ctl/include/siskinspread/CommandLine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/Ids.h"
 #include "siskinspread/LastReason.h"
 
 #include <chrono>
@@ -46,11 +47,13 @@
     std::vector<std::string> entryHosts; /**< Tried in this order. */
 };
 
-/** `siskinctl account --entry-host URL... ID` */
+/** `siskinctl account --entry-host URL... [--customer-key-file FILE] ID|--key KEY` */
 struct AccountArguments {
     CommonArguments common;
     std::vector<std::string> entryHosts; /**< Tried in this order. */
-    std::string requestId; /**< Passes parseRequestId. */
+    std::string customerKeyFile; /**< Holds the key of the customer whose request it is; empty when none is sent. */
+    std::optional<RequestId> requestId; /**< Either this or `key`. */
+    std::optional<std::string> key; /**< The idempotency key that the customer sent. */
 };
 
 /** `siskinctl drain --entry-host URL... [--wait] NAME` */
--- a/packages/ctl/include/siskinspread/OperatorApi.h
+++ b/packages/ctl/include/siskinspread/OperatorApi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/Accounts.h"
 #include "siskinspread/CommandLine.h"
 #include "siskinspread/OperatorReports.h"
 #include "siskinspread/ServiceFile.h"
@@ -32,7 +33,7 @@
     virtual std::optional<SystemStatus> status(const StatusArguments&, LastReason& reason) = 0;
 
     /** @param reason UnknownRequest when there is no such request; as for status when no entry host answered. */
-    virtual std::optional<AccountReport> account(const AccountArguments&, LastReason& reason) = 0;
+    virtual std::optional<AccountAnswer> account(const AccountArguments&, LastReason& reason) = 0;
 
     /** @param reason UnknownRequest when nothing has this name; as for status when no entry host answered. */
     virtual std::optional<DrainReport> drain(const DrainArguments&, LastReason& reason) = 0;
--- a/packages/ctl/include/siskinspread/OperatorReports.h
+++ b/packages/ctl/include/siskinspread/OperatorReports.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include "siskinspread/LastReason.h"
 #include "siskinspread/SettingsProblem.h"
-#include "siskinspread/Time.h"
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -60,29 +57,6 @@
     std::vector<BackendServerStatus> backendServers {};
 };
 
-/** One attempt at a backend server. */
-struct AttemptReport {
-    std::string backendServer {};
-    ResultCode result { ResultCode::Ok };
-    RunState run { RunState::NotRun };
-    std::chrono::milliseconds sinceAccepted { 0 }; /**< When the attempt began. */
-};
-
-/** What became of one request. */
-struct AccountReport {
-    std::string requestId {};
-    std::string service {};
-    std::string customer {};
-    std::string idempotencyKey {}; /**< Empty when the request carried none. */
-    bool ended { false }; /**< False while the request is open; result and run are then not final. */
-    ResultCode result { ResultCode::Ok };
-    RunState run { RunState::NotRun };
-    std::optional<WallTime> accepted {};
-    std::optional<std::chrono::milliseconds> duration {};
-    uint64_t tokensDelivered { 0 };
-    std::vector<AttemptReport> attempts {};
-};
-
 /** A drain that was ordered. */
 struct DrainReport {
     std::string name {};
--- a/packages/ctl/include/siskinspread/Presentation.h
+++ b/packages/ctl/include/siskinspread/Presentation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/Accounts.h"
 #include "siskinspread/LastReason.h"
 #include "siskinspread/OperatorReports.h"
 
@@ -14,14 +15,14 @@
 std::string presentText(const CheckReport& report);
 std::string presentText(const PublishReport& report);
 std::string presentText(const SystemStatus& status);
-std::string presentText(const AccountReport& report);
+std::string presentText(const AccountAnswer& answer);
 std::string presentText(const DrainReport& report);
 std::string presentText(const LastReason& reason);
 
 std::string presentJson(const CheckReport& report);
 std::string presentJson(const PublishReport& report);
 std::string presentJson(const SystemStatus& status);
-std::string presentJson(const AccountReport& report);
+std::string presentJson(const AccountAnswer& answer);
 std::string presentJson(const DrainReport& report);
 std::string presentJson(const LastReason& reason);
 
--- a/packages/ctl/main/Main.cpp
+++ b/packages/ctl/main/Main.cpp
@@ -15,7 +15,7 @@
     public:
         std::optional<PublishReport> publish(const PublishArguments&, std::span<const ServiceDocument>, LastReason& reason) override { return unavailable(reason); }
         std::optional<SystemStatus> status(const StatusArguments&, LastReason& reason) override { return unavailable(reason); }
-        std::optional<AccountReport> account(const AccountArguments&, LastReason& reason) override { return unavailable(reason); }
+        std::optional<AccountAnswer> account(const AccountArguments&, LastReason& reason) override { return unavailable(reason); }
         std::optional<DrainReport> drain(const DrainArguments&, LastReason& reason) override { return unavailable(reason); }
 
     private:
--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -86,21 +86,32 @@
         });
     }
 
+    bool readAccountQuery(const po::variables_map& values, AccountArguments& arguments, LastReason& reason)
+    {
+        if (values.count("ID") == values.count("key")) {
+            fail(reason, ResultCode::MalformedRequest, "account needs either the id of a request or --key KEY");
+            return false;
+        }
+        if (values.count("key")) {
+            arguments.key = wordOf(values, "key");
+            return true;
+        }
+        arguments.requestId = parseRequestId(wordsOf(values, "ID").front(), reason);
+        return arguments.requestId.has_value();
+    }
+
     std::optional<Command> parseAccount(const Words& words, LastReason& reason)
     {
-        CommandSyntax syntax { .usage = "siskinctl account --entry-host URL [OPTION]... ID",
+        CommandSyntax syntax { .usage = "siskinctl account --entry-host URL [OPTION]... ID|--key KEY",
             .summary = "Shows what became of one request: whether it was accepted, answered, refused, and whether it ran.",
             .positional = "ID",
             .maxPositional = 1 };
         addEntryHostOption(syntax);
+        syntax.options.add_options()("key", po::value<std::string>()->value_name("KEY"), "the idempotency key of the request, in place of its id");
+        syntax.options.add_options()("customer-key-file", po::value<std::string>()->value_name("FILE"), "file that holds the key of the customer whose request it is");
         return finish<AccountArguments>(parseWords(syntax, words, reason), syntax, reason, [&](const po::variables_map& values) -> std::optional<AccountArguments> {
-            AccountArguments arguments;
-            if (!values.count("ID")) {
-                return fail(reason, ResultCode::MalformedRequest, "account needs the id of a request");
-            }
-            arguments.requestId = wordsOf(values, "ID").front();
-            if (!parseRequestId(arguments.requestId, reason) || !readEntryHosts(values, true, arguments.entryHosts, reason)) {
-                reason.code = ResultCode::MalformedRequest;
+            AccountArguments arguments { .common = {}, .entryHosts = {}, .customerKeyFile = wordOf(values, "customer-key-file"), .requestId = {}, .key = {} };
+            if (!readAccountQuery(values, arguments, reason) || !readEntryHosts(values, true, arguments.entryHosts, reason)) {
                 return std::nullopt;
             }
             return arguments;
--- a/packages/ctl/src/PresentJson.cpp
+++ b/packages/ctl/src/PresentJson.cpp
@@ -14,11 +14,27 @@
         return object.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
     }
 
-    void addResult(Json& object, ResultCode result, RunState run)
+    std::string_view standingName(AccountStanding standing)
     {
-        object["result_code"] = static_cast<int>(result);
-        object["result"] = resultInfo(result).name;
-        object["run"] = runStateName(run);
+        switch (standing) {
+        case AccountStanding::Final:
+            return "final";
+        case AccountStanding::InProgress:
+            return "in_progress";
+        case AccountStanding::Provisional:
+            return "provisional";
+        case AccountStanding::NotFound:
+            break;
+        }
+        return "not_found";
+    }
+
+    /** Leaves out a time that is not known. */
+    void addTime(Json& object, const char* name, WallTime time)
+    {
+        if (time != WallTime {}) {
+            object[name] = fmt::format("{:%Y-%m-%dT%H:%M:%S}Z", fmt::gmtime(time));
+        }
     }
 
     Json asJson(const EntryHostStatus& host)
@@ -44,13 +60,6 @@
         };
     }
 
-    Json asJson(const AttemptReport& attempt)
-    {
-        Json object { { "backend_server", attempt.backendServer }, { "since_accepted_ms", attempt.sinceAccepted.count() } };
-        addResult(object, attempt.result, attempt.run);
-        return object;
-    }
-
     Json asJson(const SettingsProblem& problem)
     {
         return { { "file", problem.file }, { "line", problem.line }, { "key", problem.key }, { "text", problem.text } };
@@ -98,24 +107,33 @@
     });
 }
 
-std::string presentJson(const AccountReport& report)
+std::string presentJson(const AccountAnswer& answer)
 {
-    Json object { { "request_id", report.requestId }, { "service", report.service }, { "customer", report.customer } };
-    if (!report.idempotencyKey.empty()) {
-        object["idempotency_key"] = report.idempotencyKey;
-    }
-    object["ended"] = report.ended;
-    if (report.ended) {
-        addResult(object, report.result, report.run);
+    const AccountEntry& account = answer.account;
+    Json object {
+        { "request_id", formatRequestId(answer.request) },
+        { "standing", standingName(answer.standing) },
+        { "service", account.service },
+        { "customer", account.customer },
+    };
+    if (answer.key) {
+        object["idempotency_key"] = answer.key->text;
     }
-    if (report.accepted) {
-        object["accepted"] = fmt::format("{:%Y-%m-%dT%H:%M:%S}Z", fmt::gmtime(*report.accepted));
+    if (answer.standing != AccountStanding::InProgress) {
+        object["result_code"] = static_cast<int>(account.result);
+        object["result"] = resultInfo(account.result).name;
     }
-    if (report.duration) {
-        object["duration_ms"] = report.duration->count();
+    object["run_state"] = runStateName(account.runState);
+    addTime(object, "accepted", account.acceptedAt);
+    addTime(object, "finished", account.finishedAt);
+    object["attempts"] = account.attempts;
+    object["backend_servers"] = account.backendServers;
+    if (account.replayOf) {
+        object["replay_of"] = formatRequestId(*account.replayOf);
     }
-    object["tokens_delivered"] = report.tokensDelivered;
-    object["attempts"] = asList(report.attempts);
+    object["entry_host"] = account.entryHost;
+    object["recorded_by"] = answer.recordedBy;
+    object["advice"] = answer.advice;
     return asLine(object);
 }
 
--- a/packages/ctl/src/PresentText.cpp
+++ b/packages/ctl/src/PresentText.cpp
@@ -31,6 +31,27 @@
         return "may have run";
     }
 
+    std::string_view describeStanding(AccountStanding standing)
+    {
+        switch (standing) {
+        case AccountStanding::Final:
+            return "final";
+        case AccountStanding::InProgress:
+            return "still open";
+        case AccountStanding::Provisional:
+            return "provisional: the record may still be completed, and will not say the opposite";
+        case AccountStanding::NotFound:
+            break;
+        }
+        return "not found";
+    }
+
+    /** @return nothing for a time that is not known. */
+    std::string timeLine(std::string_view name, WallTime time)
+    {
+        return time == WallTime {} ? std::string {} : line(name, fmt::format("{:%Y-%m-%d %H:%M:%S} UTC", fmt::gmtime(time)));
+    }
+
     std::string plural(uint64_t count, std::string_view noun)
     {
         return fmt::format("{} {}{}", count, noun, count == 1 ? "" : "s");
@@ -76,29 +97,29 @@
     return text;
 }
 
-std::string presentText(const AccountReport& report)
+std::string presentText(const AccountAnswer& answer)
 {
-    std::string text = line("request", report.requestId) + line("service", report.service) + line("customer", report.customer);
-    if (!report.idempotencyKey.empty()) {
-        text += line("key", report.idempotencyKey);
+    const AccountEntry& account = answer.account;
+    const bool open = answer.standing == AccountStanding::InProgress;
+    std::string text = line("request", formatRequestId(answer.request)) + line("standing", describeStanding(answer.standing));
+    text += line("service", account.service) + line("customer", account.customer);
+    if (answer.key) {
+        text += line("key", answer.key->text);
     }
-    if (report.accepted) {
-        text += line("accepted", fmt::format("{:%Y-%m-%d %H:%M:%S} UTC", fmt::gmtime(*report.accepted)));
+    if (!open) {
+        text += line("result", describeResult(account.result)) + line("meaning", resultInfo(account.result).text);
     }
-    text += line("result", report.ended ? describeResult(report.result) : std::string { "still open" });
-    if (report.ended) {
-        text += line("meaning", resultInfo(report.result).text);
+    text += line("run", fmt::format("{}{}", describeRun(account.runState), open ? " so far" : ""));
+    text += timeLine("accepted", account.acceptedAt) + timeLine("finished", account.finishedAt);
+    text += line("attempts", std::to_string(account.attempts));
+    for (const std::string& server : account.backendServers) {
+        text += line("sent to", server);
     }
-    text += line("run", fmt::format("{}{}", describeRun(report.run), report.ended ? "" : " so far"));
-    if (report.duration) {
-        text += line("took", fmt::format("{} ms", report.duration->count()));
+    if (account.replayOf) {
+        text += line("answer of", formatRequestId(*account.replayOf));
     }
-    text += line("tokens", std::to_string(report.tokensDelivered));
-    for (size_t index = 0; index < report.attempts.size(); ++index) {
-        const AttemptReport& attempt = report.attempts[index];
-        text += line(fmt::format("attempt {}", index + 1), fmt::format("{} after {} ms: {}, {}", attempt.backendServer, attempt.sinceAccepted.count(), describeResult(attempt.result), describeRun(attempt.run)));
-    }
-    return text;
+    text += line("entry host", account.entryHost) + line("recorded by", answer.recordedBy);
+    return answer.advice.empty() ? text : text + line("advice", answer.advice);
 }
 
 std::string presentText(const DrainReport& report)
--- a/packages/ctl/tests/RunCommandTest.cpp
+++ b/packages/ctl/tests/RunCommandTest.cpp
@@ -15,7 +15,7 @@
     public:
         MAKE_MOCK3(publish, std::optional<PublishReport>(const PublishArguments&, std::span<const ServiceDocument>, LastReason&), override);
         MAKE_MOCK2(status, std::optional<SystemStatus>(const StatusArguments&, LastReason&), override);
-        MAKE_MOCK2(account, std::optional<AccountReport>(const AccountArguments&, LastReason&), override);
+        MAKE_MOCK2(account, std::optional<AccountAnswer>(const AccountArguments&, LastReason&), override);
         MAKE_MOCK2(drain, std::optional<DrainReport>(const DrainArguments&, LastReason&), override);
     };
 
@@ -80,7 +80,8 @@
         { { "publish", "--object-api", host, "--wait-timeout", "9999", "a.toml" }, "--wait-timeout is 9999; allowed: 1 to 3600" },
         { { "status" }, "--entry-host URL is needed" },
         { { "status", "--entry-host", "gauteng" }, "--entry-host is \"gauteng\"" },
-        { { "account", "--entry-host", host }, "account needs the id of a request" },
+        { { "account", "--entry-host", host }, "account needs either the id of a request or --key KEY" },
+        { { "account", "--entry-host", host, "--key", "k", requestId }, "account needs either" },
         { { "account", "--entry-host", host, "seven" }, "a request id has the form INCARNATION-SEQUENCE" },
         { { "account", "--entry-host", host, requestId, requestId }, "too many positional options" },
         { { "drain", "--entry-host", host }, "drain needs the name" },
@@ -157,29 +158,52 @@
 
 TEST_CASE("an account tells what became of the request")
 {
-    const AccountReport report { .requestId = requestId,
-        .service = "ledger",
-        .customer = "grip-depot",
-        .idempotencyKey = "hold-17",
-        .ended = true,
-        .result = ResultCode::OutcomeUnknown,
-        .run = RunState::MayHaveRun,
-        .accepted = WallTime { std::chrono::seconds { 1700000000 } },
-        .duration = std::chrono::milliseconds { 1250 },
-        .attempts = { { .backendServer = "ledger-01", .result = ResultCode::BackendStreamBroken, .run = RunState::MayHaveRun, .sinceAccepted = std::chrono::milliseconds { 3 } } } };
+    const RequestId id { .incarnation = { "gauteng-1a.00f3a1b2c4d5e6f7" }, .sequence = 7 };
+    const AccountAnswer answer { .standing = AccountStanding::Final,
+        .request = id,
+        .account = { .request = id,
+            .customer = "grip-depot",
+            .service = "ledger",
+            .result = ResultCode::OutcomeUnknown,
+            .runState = RunState::MayHaveRun,
+            .attempts = 1,
+            .backendServers = { "ledger-01" },
+            .acceptedAt = WallTime { std::chrono::seconds { 1700000000 } },
+            .finishedAt = WallTime { std::chrono::seconds { 1700000002 } },
+            .entryHost = "gauteng-1a",
+            .replayOf = {} },
+        .key = IdempotencyKey { .customer = "grip-depot", .text = "hold-17" },
+        .recordedBy = "gauteng-1b.01",
+        .advice = "ask ledger-01 for key hold-17" };
     MockOperatorApi api;
-    ALLOW_CALL(api, account(trompeloeil::_, trompeloeil::_)).RETURN(report);
+    ALLOW_CALL(api, account(trompeloeil::_, trompeloeil::_)).WITH(_1.requestId == id && !_1.key).RETURN(answer);
     const Outcome text = run({ "account", "--entry-host", host, requestId }, api);
     CHECK(text.code == ExitCode::Success);
-    CHECK(text.output == "request       gauteng-1a.00f3a1b2c4d5e6f7-7\nservice       ledger\ncustomer      grip-depot\nkey           hold-17\n"
-                         "accepted      2023-11-14 22:13:20 UTC\nresult        303 outcome_unknown\n"
+    CHECK(text.output == "request       gauteng-1a.00f3a1b2c4d5e6f7-7\nstanding      final\nservice       ledger\ncustomer      grip-depot\nkey           hold-17\n"
+                         "result        303 outcome_unknown\n"
                          "meaning       The request may have run; ask the backend server for its record of the key.\nrun           may have run\n"
-                         "took          1250 ms\ntokens        0\nattempt 1     ledger-01 after 3 ms: 403 backend_stream_broken, may have run\n");
+                         "accepted      2023-11-14 22:13:20 UTC\nfinished      2023-11-14 22:13:22 UTC\nattempts      1\nsent to       ledger-01\n"
+                         "entry host    gauteng-1a\nrecorded by   gauteng-1b.01\nadvice        ask ledger-01 for key hold-17\n");
     const auto json = nlohmann::json::parse(run({ "account", "--output", "json", "--entry-host", host, requestId }, api).output);
-    CHECK(json["run"] == "may_have_run");
+    CHECK(json["standing"] == "final");
+    CHECK(json["run_state"] == "may_have_run");
     CHECK(json["result_code"] == 303);
     CHECK(json["accepted"] == "2023-11-14T22:13:20Z");
-    CHECK(json["attempts"][0]["result"] == "backend_stream_broken");
+    CHECK(json["backend_servers"][0] == "ledger-01");
+}
+
+TEST_CASE("an account may be asked for by key, and an open request has no result yet")
+{
+    AccountAnswer open;
+    open.standing = AccountStanding::InProgress;
+    MockOperatorApi api;
+    REQUIRE_CALL(api, account(trompeloeil::_, trompeloeil::_))
+        .WITH(_1.key == "hold-17" && !_1.requestId && _1.customerKeyFile == "key.txt")
+        .RETURN(open);
+    const Outcome text = run({ "account", "--entry-host", host, "--key", "hold-17", "--customer-key-file", "key.txt" }, api);
+    CHECK(text.output.find("standing      still open\n") != std::string::npos);
+    CHECK(text.output.find("\nresult ") == std::string::npos);
+    CHECK(text.output.find("run           not run so far\n") != std::string::npos);
 }
 
 TEST_CASE("status and drain show what the entry host answered")
--- a/packages/settings/src/FieldRules.cpp
+++ b/packages/settings/src/FieldRules.cpp
@@ -127,6 +127,9 @@
         case FieldDescriptor::CPPTYPE_UINT32:
             reflection.SetUInt32(&message, &field, static_cast<uint32_t>(number));
             break;
+        case FieldDescriptor::CPPTYPE_UINT64:
+            reflection.SetUInt64(&message, &field, static_cast<uint64_t>(number));
+            break;
         case FieldDescriptor::CPPTYPE_DOUBLE:
             reflection.SetDouble(&message, &field, number);
             break;
