--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -11,7 +11,6 @@
 
     constexpr double missedDeadlineCost = 1e7; // milliseconds; above any other cost
     constexpr size_t maximumHints = 8;
-    constexpr double seenCount = 0.25; // a request two half lives ago
 
     /** What is known about one usable server for one request. */
     struct Candidate {
@@ -83,13 +82,15 @@
             homes.push_back(&candidate);
         }
         const double servers = static_cast<double>(pool.candidates.size());
-        for (const PrefixBlock block : request.blocks) {
-            const PrefixUse use = prefixUse(view.popularity, block, now);
+        const std::vector<PrefixUse> uses = prefixUses(view.popularity, request.blocks, now);
+        for (size_t i = 0; i < request.blocks.size(); ++i) {
+            const PrefixBlock block = request.blocks[i];
+            const PrefixUse& use = uses[i];
             const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
-            if (wanted < static_cast<double>(homes.size())) {
+            if (use.share < options.hotShare && wanted < static_cast<double>(homes.size())) {
                 narrowHomes(homes, static_cast<size_t>(wanted), block, view);
             }
-            const double credit = use.count >= seenCount ? 1.0 : options.unseenCredit;
+            const double credit = use.seen ? 1.0 : options.unseenCredit;
             for (Candidate* home : homes) {
                 home->homeTokens += credit * request.tokensPerBlock;
             }
@@ -133,9 +134,9 @@
     }
 
     /** Time from dispatch until the server begins to compute the prompt. */
-    Milliseconds expectedWait(const Candidate& candidate, const BackendServerView& server, const RoutingOptions& options)
+    Milliseconds expectedWait(const Candidate& candidate, const BackendServerView& server, double prefillTokensPerSecond, const RoutingOptions& options)
     {
-        const std::chrono::duration<double> queue { candidate.load.queuedPromptTokens * server.slowness / options.prefillTokensPerSecond };
+        const std::chrono::duration<double> queue { candidate.load.queuedPromptTokens * server.slowness / prefillTokensPerSecond };
         const Milliseconds hold = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
         const double slots = std::max(candidate.slots, 1.0);
         const double excess = std::max(0.0, candidate.load.requests + 1 - slots);
@@ -156,6 +157,13 @@
         return Milliseconds(options.tieSpread) * part;
     }
 
+    /** Time far inside the target is worth little; what counts is to stay inside it. */
+    Milliseconds latencyCost(Milliseconds firstToken, const RoutingOptions& options)
+    {
+        const Milliseconds cheap = std::min(firstToken, Milliseconds(options.firstTokenTarget) * options.cheapPart);
+        return cheap * options.cheapLatency + (firstToken - cheap);
+    }
+
     struct Scored {
         double cost { 0 };
         RouteChoice choice;
@@ -165,13 +173,13 @@
     {
         const BackendServerView& server = view.servers[candidate.index];
         const double missing = std::max(0.0, request.promptTokens - cachedTokens(candidate, server, hints));
-        const Milliseconds computing = std::chrono::duration<double>(missing * server.slowness / options.prefillTokensPerSecond);
-        const Milliseconds wait = expectedWait(candidate, server, options);
+        const Milliseconds computing = std::chrono::duration<double>(missing * server.slowness / view.options.prefillTokensPerSecond);
+        const Milliseconds wait = expectedWait(candidate, server, view.options.prefillTokensPerSecond, options);
         const Milliseconds firstToken = wait + computing + Milliseconds(server.description.oneWayDelay) * 2;
         const Milliseconds answer = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
         const Milliseconds slowAnswer = answer * (server.slowness - 1);
         const Milliseconds crowding = Milliseconds(options.fullBatchCost) * (candidate.load.requests / std::max(candidate.slots, 1.0));
-        const Milliseconds latency = firstToken + slowAnswer + crowding + priceCost(server, pool, options) + tieBreak(server, request, options);
+        const Milliseconds latency = latencyCost(firstToken, options) + slowAnswer + crowding + priceCost(server, pool, options) + tieBreak(server, request, options);
 
         double cost = options.weights.latencyBoundCost * latency.count() + options.weights.recomputedTokens * computing.count();
         if (now + std::chrono::ceil<MonotonicTime::duration>(firstToken) > request.deadline) {
