--- a/packages/ctl/include/siskinspread/NetworkOperatorApi.h
+++ b/packages/ctl/include/siskinspread/NetworkOperatorApi.h
@@ -18,7 +18,7 @@
 
     std::optional<PublishReport> publish(const PublishArguments&, std::span<const ServiceDocument>, LastReason&) override;
     std::optional<SystemStatus> status(const StatusArguments&, LastReason&) override;
-    std::optional<AccountReport> account(const AccountArguments&, LastReason&) override;
+    std::optional<AccountAnswer> account(const AccountArguments&, LastReason&) override;
     std::optional<DrainReport> drain(const DrainArguments&, LastReason&) override;
 
 private:
--- a/packages/ctl/src/NetworkOperatorApi.cpp
+++ b/packages/ctl/src/NetworkOperatorApi.cpp
@@ -2,9 +2,13 @@
 
 #include "PublishImage.h"
 #include "Publisher.h"
+#include "siskinspread/RecordCodec.h"
 
+#include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
+#include <memory>
+
 namespace siskinspread {
 
 namespace {
@@ -12,12 +16,18 @@
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
 
+    std::string escape(const std::string& text)
+    {
+        const std::unique_ptr<char, decltype(&curl_free)> escaped { curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())), &curl_free };
+        return escaped.get();
+    }
+
     /** Asks the entry hosts in turn. @return the first answer, or nothing with BackendConnectFailed. */
-    std::optional<TransferEnded> askEntryHosts(const std::vector<std::string>& entryHosts, const std::string& path, std::chrono::milliseconds timeout, LastReason& reason)
+    std::optional<TransferEnded> askEntryHosts(const std::vector<std::string>& entryHosts, const std::string& path, std::chrono::milliseconds timeout, const HttpHeaders& headers, LastReason& reason)
     {
         std::string detail = "no entry host answered:";
         for (const std::string& host : entryHosts) {
-            TransferEnded ended = performTransfer({ .url = host + path, .headers = {}, .body = {}, .connectTimeout = timeout, .totalTimeout = timeout });
+            TransferEnded ended = performTransfer({ .url = host + path, .headers = headers, .body = {}, .connectTimeout = timeout, .totalTimeout = timeout });
             if (ended.end == TransferEnd::Complete) {
                 return ended;
             }
@@ -28,7 +38,7 @@
 
     std::optional<nlohmann::json> askForJson(const std::vector<std::string>& entryHosts, const std::string& path, std::chrono::milliseconds timeout, LastReason& reason)
     {
-        const auto answer = askEntryHosts(entryHosts, path, timeout, reason);
+        const auto answer = askEntryHosts(entryHosts, path, timeout, {}, reason);
         if (!answer) {
             return std::nullopt;
         }
@@ -42,30 +52,13 @@
         return document;
     }
 
-    RunState runStateOf(const std::string& name)
-    {
-        for (const RunState state : { RunState::NotRun, RunState::Ran }) {
-            if (runStateName(state) == name) {
-                return state;
-            }
-        }
-        return RunState::MayHaveRun;
-    }
-
-    AccountReport accountOf(const nlohmann::json& document)
+    /** @return the path that names the request of an account query. */
+    std::string accountPath(const AccountArguments& arguments)
     {
-        AccountReport report;
-        report.requestId = document.value("request_id", "");
-        report.service = document.value("service", "");
-        report.customer = document.value("customer", "");
-        report.idempotencyKey = document.value("idempotency_key", "");
-        report.ended = document.contains("finished_at") && !document["finished_at"].is_null();
-        report.result = static_cast<ResultCode>(document.value("code", 0));
-        report.run = runStateOf(document.value("run_state", ""));
-        for (const auto& server : document.value("backend_servers", nlohmann::json::array())) {
-            report.attempts.push_back({ .backendServer = server.get<std::string>() });
+        if (arguments.key) {
+            return "/operator/accounts?customer=" + escape(arguments.customer) + "&key=" + escape(*arguments.key);
         }
-        return report;
+        return "/operator/accounts/" + escape(formatRequestId(*arguments.requestId));
     }
 
 } // namespace
@@ -101,13 +94,19 @@
     return status;
 }
 
-std::optional<AccountReport> NetworkOperatorApi::account(const AccountArguments& arguments, LastReason& reason)
+std::optional<AccountAnswer> NetworkOperatorApi::account(const AccountArguments& arguments, LastReason& reason)
 {
-    const auto document = askForJson(arguments.entryHosts, "/operator/accounts/" + arguments.requestId, arguments.common.timeout, reason);
-    if (!document) {
+    const auto answer = askEntryHosts(arguments.entryHosts, accountPath(arguments), arguments.common.timeout, { { .name = "Accept", .value = recordContentType } }, reason);
+    if (!answer) {
         return std::nullopt;
     }
-    return accountOf(*document);
+    if (answer->status == statusNotFound) {
+        return fail(reason, ResultCode::UnknownRequest, "no such request is known");
+    }
+    if (answer->status != statusOk) {
+        return fail(reason, ResultCode::BackendError, "an entry host answered with status " + std::to_string(answer->status));
+    }
+    return decodeAccountAnswer(answer->body, reason);
 }
 
 std::optional<DrainReport> NetworkOperatorApi::drain(const DrainArguments&, LastReason& reason)
--- a/packages/daemon/include/siskinspread/OperatorRoutes.h
+++ b/packages/daemon/include/siskinspread/OperatorRoutes.h
@@ -30,9 +30,9 @@
 
 private:
     void handleAccount(const IncomingRequest&);
-    void lookUp(ExchangeId, const AccountQuery&, std::vector<IncarnationId> candidates);
+    void lookUp(const IncomingRequest&, const AccountQuery&, std::vector<IncarnationId> candidates);
     std::string statusJson() const;
-    void sendJson(ExchangeId, int status, std::string body);
+    void send(ExchangeId, int status, const char* contentType, std::string body);
 
     HostContext& m_context;
     Parts m_parts;
--- a/packages/daemon/src/OperatorRoutes.cpp
+++ b/packages/daemon/src/OperatorRoutes.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/OperatorRoutes.h"
 
 #include "siskinspread/CallerResponse.h"
+#include "siskinspread/RecordCodec.h"
 #include "siskinspread/Target.h"
 
 #include <nlohmann/json.hpp>
@@ -11,6 +12,7 @@
 
     constexpr std::string_view accountsPath = "/operator/accounts";
     constexpr int statusOk = 200;
+    constexpr const char* jsonContentType = "application/json";
 
     std::string_view statusName(BackendStatus status)
     {
@@ -39,7 +41,7 @@
 {
     const Target target = splitTarget(request.target);
     if (target.path == "/operator/status") {
-        sendJson(request.exchange, statusOk, statusJson());
+        send(request.exchange, statusOk, jsonContentType, statusJson());
         return true;
     }
     if (target.path.starts_with(accountsPath)) {
@@ -59,7 +61,7 @@
             sendRefusal(m_context, m_context.peerCallers, request.exchange, "", { .code = reason.code, .detail = reason.detail });
             return;
         }
-        lookUp(request.exchange, { .request = *id }, {});
+        lookUp(request, { .request = *id }, {});
         return;
     }
     const auto key = queryParameter(target.query, "key");
@@ -69,14 +71,19 @@
         return;
     }
     const IdempotencyKey query { .customer = *customer, .text = *key };
-    lookUp(request.exchange, { .key = query }, m_parts.ownersOfKey(query));
+    lookUp(request, { .key = query }, m_parts.ownersOfKey(query));
 }
 
-void OperatorRoutes::lookUp(ExchangeId exchange, const AccountQuery& query, std::vector<IncarnationId> candidates)
+void OperatorRoutes::lookUp(const IncomingRequest& request, const AccountQuery& query, std::vector<IncarnationId> candidates)
 {
-    m_parts.accounts.start(query, std::move(candidates), [this, exchange](const AccountAnswer& answer) {
+    const bool asRecord = findHeader(request.headers, "Accept") == recordContentType;
+    m_parts.accounts.start(query, std::move(candidates), [this, asRecord, exchange = request.exchange](const AccountAnswer& answer) {
         const int status = answer.standing == AccountStanding::NotFound ? resultInfo(ResultCode::UnknownRequest).httpStatus : statusOk;
-        sendJson(exchange, status, accountJson(answer));
+        if (asRecord) {
+            send(exchange, status, recordContentType, encodeAccountAnswer(answer));
+        } else {
+            send(exchange, status, jsonContentType, accountJson(answer));
+        }
     });
 }
 
@@ -105,9 +112,9 @@
     return status.dump();
 }
 
-void OperatorRoutes::sendJson(ExchangeId exchange, int status, std::string body)
+void OperatorRoutes::send(ExchangeId exchange, int status, const char* contentType, std::string body)
 {
-    m_context.peerCallers.send(RespondWhole { .exchange = exchange, .status = status, .headers = { { .name = "Content-Type", .value = "application/json" } }, .body = std::move(body) });
+    m_context.peerCallers.send(RespondWhole { .exchange = exchange, .status = status, .headers = { { .name = "Content-Type", .value = contentType } }, .body = std::move(body) });
 }
 
 } // namespace siskinspread
--- a/packages/daemon/include/siskinspread/RecordCodec.h
+++ b/packages/records/include/siskinspread/RecordCodec.h
@@ -24,6 +24,9 @@
 std::string encodeAccountAnswer(const AccountAnswer&);
 std::optional<AccountAnswer> decodeAccountAnswer(std::string_view bytes, LastReason&);
 
+/** Content type of a record in an HTTP body. */
+constexpr const char* recordContentType = "application/x-protobuf";
+
 /** @return the name of a batch's object: log/INCARNATION/NUMBER with 8 digits. */
 std::string logBatchName(const IncarnationId&, uint64_t number);
 
