Let the service name its shared instructions; fewer homes for hot prefixes

Cause: narrowing at the instructions of a small customer moves all of its documents whenever its share crosses a threshold, differently on each host.

--- a/benchmark/routing/Main.cpp
+++ b/benchmark/routing/Main.cpp
@@ -54,7 +54,6 @@
         { "others-share", &contestant.pool.othersShare },
         { "cheap-part", &contestant.routing.cheapPart },
         { "cheap-latency", &contestant.routing.cheapLatency },
-        { "hot-share", &contestant.routing.hotShare },
         { "overcommit", &contestant.overcommit },
         { "reserved-share", &contestant.admissionOptions.reservedShare },
         { "slow-tolerance", &contestant.pool.slowTolerance },
--- a/benchmark/routing/Replay.cpp
+++ b/benchmark/routing/Replay.cpp
@@ -93,6 +93,7 @@
             , m_start(m_events.now())
         {
             m_contestant.routing.weights = scenario.weights;
+            m_contestant.routing.instructionTokens = scenario.instructionTokens;
         }
 
         Measurement run()
@@ -575,7 +576,7 @@
     constexpr RoutingWeights zafran { .latencyBoundCost = 1, .recomputedTokens = 2 };
     return {
         { .name = "dawn-rush", .workload = "dawn-rush", .weights = association },
-        { .name = "blend-sheets", .workload = "blend-sheets", .weights = zafran, .betweenDomains = 900us },
+        { .name = "blend-sheets", .workload = "blend-sheets", .weights = zafran, .instructionTokens = 1500, .betweenDomains = 900us },
         { .name = "reclaim-wave", .workload = "steady", .weights = association, .reclaimWave = true },
         { .name = "customer-burst", .workload = "customer-burst", .weights = association },
         { .name = "stale-load", .workload = "steady", .weights = association, .reportInterval = 4s, .reportDelay = 4s },
--- a/benchmark/routing/Scenario.h
+++ b/benchmark/routing/Scenario.h
@@ -39,6 +39,7 @@
     std::string name;
     std::string workload;
     RoutingWeights weights;
+    uint32_t instructionTokens { 1200 }; /**< As the service file would say it. */
     std::chrono::milliseconds reportInterval { 500 };
     std::chrono::milliseconds reportDelay { 700 };
     std::chrono::microseconds betweenDomains { 1200 };
--- a/packages/decisions/include/siskinspread/RoutingPrefix.h
+++ b/packages/decisions/include/siskinspread/RoutingPrefix.h
@@ -26,8 +26,8 @@
 uint64_t rendezvousWeight(PrefixBlock block, uint64_t serverNameHash);
 
 /**
- * How much work began with each prefix block lately: a direct-mapped table of exponentially decaying sums with fixed
- * memory. Two blocks in one place: the one with the larger sum stays. Plain data: the owner serialises access.
+ * How much work began with each prefix block lately: a set-associative table of exponentially decaying sums with
+ * fixed memory. Where a set is full, the block with the least work makes room. Plain data: the owner serialises access.
  */
 struct PrefixPopularity {
     struct Entry {
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -87,7 +87,8 @@
             const PrefixBlock block = request.blocks[i];
             const PrefixUse& use = uses[i];
             const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
-            if (use.share < options.hotShare && wanted < static_cast<double>(homes.size())) {
+            const bool isInstructions = (i + 1) * request.tokensPerBlock <= options.instructionTokens;
+            if (!isInstructions && wanted < static_cast<double>(homes.size())) {
                 narrowHomes(homes, static_cast<size_t>(wanted), block, view);
             }
             const double credit = use.seen ? 1.0 : options.unseenCredit;
--- a/packages/decisions/src/RoutingPrefix.cpp
+++ b/packages/decisions/src/RoutingPrefix.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr size_t popularityEntries = 16384; // 24 bytes each
+    constexpr size_t entriesPerSet = 4;
     constexpr size_t cachedEntries = 8192; // 72 bytes each
 
     using Seconds = std::chrono::duration<double>;
@@ -26,6 +27,34 @@
         entry.at = now;
     }
 
+    template <typename Popularity>
+    auto setOf(Popularity& popularity, PrefixBlock block)
+    {
+        const size_t sets = popularity.entries.size() / entriesPerSet;
+        return std::span(popularity.entries).subspan((block & (sets - 1)) * entriesPerSet, entriesPerSet);
+    }
+
+    const PrefixPopularity::Entry* findEntry(const PrefixPopularity& popularity, PrefixBlock block)
+    {
+        const auto set = setOf(popularity, block);
+        const auto found = std::find_if(set.begin(), set.end(), [block](const auto& entry) { return entry.block == block; });
+        return found == set.end() ? nullptr : &*found;
+    }
+
+    /** The entry of the block; a new one takes the place of the set's least work. */
+    PrefixPopularity::Entry& claimEntry(PrefixPopularity& popularity, PrefixBlock block, MonotonicTime now)
+    {
+        const auto set = setOf(popularity, block);
+        auto found = std::find_if(set.begin(), set.end(), [block](const auto& entry) { return entry.block == block; });
+        if (found == set.end()) {
+            found = std::min_element(set.begin(), set.end(), [&popularity, now](const auto& left, const auto& right) {
+                return decayed(popularity, left, now) < decayed(popularity, right, now);
+            });
+            *found = { .block = block, .at = now };
+        }
+        return *found;
+    }
+
     CachedPrefixes::Entry& claimEntry(CachedPrefixes& cached, PrefixBlock block)
     {
         if (cached.entries.empty()) {
@@ -70,12 +99,7 @@
     }
     addWork(popularity, popularity.total, work, now);
     for (const PrefixBlock block : blocks) {
-        PrefixPopularity::Entry& entry = popularity.entries[block & (popularity.entries.size() - 1)];
-        if (entry.block == block) {
-            addWork(popularity, entry, work, now);
-        } else if (decayed(popularity, entry, now) < work) {
-            entry = { .block = block, .work = static_cast<float>(work), .at = now };
-        }
+        addWork(popularity, claimEntry(popularity, block, now), work, now);
     }
 }
 
@@ -88,9 +112,11 @@
     const double total = decayed(popularity, popularity.total, now);
     PrefixUse longer;
     for (size_t i = blocks.size(); i > 0; --i) {
-        const PrefixPopularity::Entry& entry = popularity.entries[blocks[i - 1] & (popularity.entries.size() - 1)];
-        const double work = entry.block == blocks[i - 1] ? decayed(popularity, entry, now) : 0.0;
-        longer = { .seen = longer.seen || work > 0, .share = std::max(longer.share, work / total) };
+        const PrefixPopularity::Entry* entry = findEntry(popularity, blocks[i - 1]);
+        if (entry != nullptr && total > 0) {
+            const double share = decayed(popularity, *entry, now) / total;
+            longer = { .seen = true, .share = std::max(longer.share, share) };
+        }
         uses[i - 1] = longer;
     }
     return uses;
