--- a/benchmark/routing/Main.cpp
+++ b/benchmark/routing/Main.cpp
@@ -59,6 +59,10 @@
         { "slow-tolerance", &contestant.pool.slowTolerance },
         { "slow-start-floor", &contestant.pool.slowStartFloor },
     };
+    if (name == "instruction-tokens") {
+        contestant.instructionTokens = static_cast<uint32_t>(value);
+        return true;
+    }
     const std::map<std::string, std::chrono::milliseconds*> times {
         { "first-token-target", &contestant.routing.firstTokenTarget },
         { "full-batch-cost", &contestant.routing.fullBatchCost },
@@ -70,6 +74,7 @@
     const std::map<std::string, bool*> switches {
         { "cache-events", &contestant.cacheEvents },
         { "own-hints", &contestant.ownHints },
+        { "admission", &contestant.admission },
     };
     if (const auto number = numbers.find(name); number != numbers.end()) {
         *number->second = value;
@@ -89,6 +94,7 @@
         { .name = "siskinspread" },
         { .name = "round robin", .policy = Policy::RoundRobin },
         { .name = "least reported load", .policy = Policy::LeastReportedLoad },
+        { .name = "least of two", .policy = Policy::LeastOfTwo },
         { .name = "plain prefix hash", .policy = Policy::PlainPrefixHash },
         { .name = "least load, no admission", .policy = Policy::LeastReportedLoad, .admission = false },
     };
--- a/benchmark/routing/Replay.cpp
+++ b/benchmark/routing/Replay.cpp
@@ -93,7 +93,7 @@
             , m_start(m_events.now())
         {
             m_contestant.routing.weights = scenario.weights;
-            m_contestant.routing.instructionTokens = scenario.instructionTokens;
+            m_contestant.routing.instructionTokens = contestant.instructionTokens.value_or(scenario.instructionTokens);
         }
 
         Measurement run()
@@ -266,6 +266,8 @@
                 return chooseRoundRobin(host.view, request, host.roundRobin, m_events.now(), reason);
             case Policy::LeastReportedLoad:
                 return chooseLeastReportedLoad(host.view, request, m_events.now(), reason);
+            case Policy::LeastOfTwo:
+                return chooseLeastOfTwo(host.view, request, m_events.now(), reason);
             case Policy::PlainPrefixHash:
                 return choosePlainPrefixHash(host.view, request, m_contestant.plainKeyBlocks, m_events.now(), reason);
             case Policy::BoundedPrefix:
--- a/benchmark/routing/Scenario.h
+++ b/benchmark/routing/Scenario.h
@@ -7,6 +7,7 @@
 #include "siskinspread/Routing.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace siskinspread::benchmark {
@@ -16,6 +17,7 @@
     BoundedPrefix, /**< chooseBackendServer. */
     RoundRobin,
     LeastReportedLoad,
+    LeastOfTwo,
     PlainPrefixHash,
 };
 
@@ -27,6 +29,7 @@
     bool cacheEvents { true };
     bool ownHints { true }; /**< This host's own dispatches count as cache hints. */
     RoutingOptions routing {};
+    std::optional<uint32_t> instructionTokens {}; /**< In place of the scenario's. */
     PoolOptions pool {};
     PrefixPopularity popularity {};
     size_t plainKeyBlocks { 24 }; /**< Depth of the plain prefix hash. */
--- a/benchmark/routing/Trace.cpp
+++ b/benchmark/routing/Trace.cpp
@@ -183,8 +183,8 @@
 
     void addBurst(Generator& generator)
     {
-        const auto burst = [](double) { return 25.0; };
-        poisson(generator.random, 30, 55, 25.0, burst, [&generator](double at) {
+        const auto burst = [](double) { return 100.0; };
+        poisson(generator.random, 30, 38, 100.0, burst, [&generator](double at) {
             addConversation(generator, crewQuery, 0, at, traceSeconds);
         });
     }
--- a/packages/decisions/include/siskinspread/Admission.h
+++ b/packages/decisions/include/siskinspread/Admission.h
@@ -15,7 +15,7 @@
 /** Constants of the admission to one pool at one entry host. */
 struct AdmissionOptions {
     uint32_t poolLimit { 64 }; /**< Requests of this host in progress in the pool; see admissionLimit. */
-    double reservedShare { 0.1 }; /**< Part of the limit that customers over their share may not take. */
+    double reservedShare { 0.2 }; /**< Part of the limit that customers over their share may not take. */
     uint32_t queueLimit { 64 }; /**< Requests waiting at most. */
     std::chrono::milliseconds longestWait { 1000 }; /**< A request that would wait longer is refused at once. */
     std::chrono::milliseconds shortestRetryAfter { 500 };
