--- a/benchmark/routing/EngineFake.cpp
+++ b/benchmark/routing/EngineFake.cpp
@@ -134,9 +134,7 @@
     for (const auto& [id, last] : tokens) {
         m_onToken(id, last);
     }
-    if (generation == m_generation) {
-        beginStep();
-    }
+    beginStep();
 }
 
 uint32_t EngineFake::cachedPrefixTokens(const EngineStream& stream) const
--- a/packages/decisions/include/siskinspread/Admission.h
+++ b/packages/decisions/include/siskinspread/Admission.h
@@ -25,12 +25,12 @@
 /** A request at the door. */
 struct AdmissionRequest {
     uint64_t sequence { 0 }; /**< Unique at this host. */
-    std::string customer;
+    std::string customer {};
     double weight { 1.0 }; /**< The customer's share under contention, above zero. */
     uint32_t customerLimit { 0 }; /**< Requests in progress at most; 0 for none. */
     uint8_t priority { 1 }; /**< Higher goes first within a customer and is shed last. */
     double work { 1.0 }; /**< Estimated cost, above zero; tokens for a model. */
-    MonotonicTime deadline;
+    MonotonicTime deadline {};
     std::chrono::milliseconds expectedDuration { 0 }; /**< Least time from dispatch to the end of the answer. */
 };
 
@@ -50,8 +50,8 @@
 /** The verdict on one arriving request. */
 struct AdmissionDecision {
     AdmissionOutcome outcome { AdmissionOutcome::Refused };
-    std::optional<AdmissionRefusal> refusal; /**< Present when refused. */
-    std::optional<AdmissionRefusal> displaced; /**< A waiting request that gave up its place to this one. */
+    std::optional<AdmissionRefusal> refusal {}; /**< Present when refused. */
+    std::optional<AdmissionRefusal> displaced {}; /**< A waiting request that gave up its place to this one. */
 };
 
 /** State of the admission to one pool. Plain data: the owner serialises access. */
--- a/packages/decisions/include/siskinspread/AttemptPlan.h
+++ b/packages/decisions/include/siskinspread/AttemptPlan.h
@@ -25,7 +25,7 @@
 /** One ended attempt and the request it belongs to. */
 struct EndedAttempt {
     AttemptEnd end { AttemptEnd::ConnectFailed };
-    std::string customer;
+    std::string customer {};
     bool repeatable { false }; /**< The call may run more than once. */
     bool resumable { false }; /**< The service can go on from a given token of the answer. */
     uint32_t attempts { 1 }; /**< Attempts made so far, at least 1. */
@@ -33,8 +33,8 @@
     uint32_t tokensSent { 0 }; /**< Tokens of the answer that the caller already has. */
     bool cacheExported { false }; /**< The server's KV cache of this stream can be imported elsewhere. */
     RunState earlierRunState { RunState::NotRun }; /**< What earlier attempts left known. */
-    std::optional<std::chrono::milliseconds> serverRetryAfter;
-    MonotonicTime deadline;
+    std::optional<std::chrono::milliseconds> serverRetryAfter {};
+    MonotonicTime deadline {};
     uint64_t seed { 0 };
 };
 
@@ -64,7 +64,7 @@
 struct FinalAnswer {
     ResultCode code { ResultCode::InternalError };
     RunState runState { RunState::MayHaveRun };
-    std::optional<std::chrono::milliseconds> retryAfter; /**< Present when the result table says retryable. */
+    std::optional<std::chrono::milliseconds> retryAfter {}; /**< Present when the result table says retryable. */
     ResultCode attemptCode { ResultCode::InternalError }; /**< Why the last attempt ended, for logs and counters. */
 };
 
@@ -85,11 +85,11 @@
 
 /** An attempt that has produced no token yet. */
 struct QuietAttempt {
-    std::string customer;
+    std::string customer {};
     bool repeatable { false };
     uint32_t attempts { 1 };
-    MonotonicTime dispatchedAt;
-    MonotonicTime deadline;
+    MonotonicTime dispatchedAt {};
+    MonotonicTime deadline {};
 };
 
 /**
--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -23,7 +23,7 @@
 
 /** Load that a backend server reported about itself. It reaches the entry host late. */
 struct BackendLoadReport {
-    MonotonicTime sampledAt; /**< When the values were read, on this host's clock: arrival less the known age. */
+    MonotonicTime sampledAt {}; /**< When the values were read, on this host's clock: arrival less the known age. */
     uint32_t running { 0 }; /**< Requests in the batch. */
     uint32_t waiting { 0 }; /**< Requests queued in front of the batch. */
     uint32_t slots { 0 }; /**< Requests that the batch holds at most; 0 when not known. */
@@ -46,8 +46,8 @@
 
 /** What is fixed about a backend server, from the configuration. */
 struct BackendServerDescription {
-    std::string name;
-    std::string failureDomain;
+    std::string name {};
+    std::string failureDomain {};
     double pricePerHour { 0 };
     std::chrono::microseconds oneWayDelay { 0 }; /**< Network delay from this host; 0 inside its own failure domain. */
     uint32_t defaultSlots { 16 }; /**< Used until a report says otherwise; above zero. */
--- a/packages/decisions/include/siskinspread/Routing.h
+++ b/packages/decisions/include/siskinspread/Routing.h
@@ -37,11 +37,11 @@
 
 /** One request to be routed. The spans must outlive the call. */
 struct RouteRequest {
-    std::span<const PrefixBlock> blocks; /**< Empty for a plain service. */
+    std::span<const PrefixBlock> blocks {}; /**< Empty for a plain service. */
     uint32_t tokensPerBlock { 64 };
     uint32_t promptTokens { 0 };
-    MonotonicTime deadline;
-    std::span<const std::string> excluded; /**< Names of servers already tried. */
+    MonotonicTime deadline {};
+    std::span<const std::string> excluded {}; /**< Names of servers already tried. */
     uint64_t seed { 0 }; /**< Differs from request to request; spreads equal choices. */
 };
 
--- a/packages/decisions/src/Admission.cpp
+++ b/packages/decisions/src/Admission.cpp
@@ -96,7 +96,7 @@
 
     AdmissionDecision refuse(const AdmissionState& state, const AdmissionOptions& options, const AdmissionRequest& request, ResultCode code)
     {
-        return { .outcome = AdmissionOutcome::Refused, .refusal = refusalOf(state, options, request.sequence, code), .displaced = {} };
+        return { .outcome = AdmissionOutcome::Refused, .refusal = refusalOf(state, options, request.sequence, code) };
     }
 
     MonotonicTime latestStart(const AdmissionState::Waiting& entry, const AdmissionOptions& options)
@@ -118,26 +118,24 @@
         return customer.waitingWork / customer.weight;
     }
 
-    /** Whether `left` is shed rather than `right`: lower priority, then larger backlog for its weight, then later arrival. */
+    /** Whether `left` is shed rather than `right`: lower priority, then larger backlog for its weight. */
     bool shedsBefore(const AdmissionState& state, const AdmissionState::Waiting& left, const AdmissionState::Waiting& right)
     {
         if (left.request.priority != right.request.priority) {
             return left.request.priority < right.request.priority;
         }
-        if (left.request.customer != right.request.customer) {
-            return backlog(state, left) > backlog(state, right);
-        }
-        return left.since > right.since;
+        return left.request.customer != right.request.customer && backlog(state, left) > backlog(state, right);
     }
 
     /** Sheds one waiting request, perhaps the newest. @return the refusal. */
     AdmissionRefusal shedOne(AdmissionState& state, const AdmissionOptions& options)
     {
-        const auto worst = std::min_element(state.waiting.begin(), state.waiting.end(), [&state](const auto& left, const auto& right) {
+        // From the newest on, so that of equals the newest is shed.
+        const auto worst = std::min_element(state.waiting.rbegin(), state.waiting.rend(), [&state](const auto& left, const auto& right) {
             return shedsBefore(state, left, right);
         });
         const AdmissionRefusal refusal = refusalOf(state, options, worst->request.sequence, ResultCode::LoadShed);
-        removeWaiting(state, static_cast<size_t>(worst - state.waiting.begin()));
+        removeWaiting(state, static_cast<size_t>(state.waiting.rend() - worst) - 1);
         return refusal;
     }
 
@@ -150,7 +148,7 @@
         ++customer.waiting;
         customer.waitingWork += request.work;
         if (state.waiting.size() <= options.queueLimit) {
-            return { .outcome = AdmissionOutcome::Waiting, .refusal = {}, .displaced = {} };
+            return { .outcome = AdmissionOutcome::Waiting };
         }
         const AdmissionRefusal shed = shedOne(state, options);
         if (shed.sequence == request.sequence) {
@@ -237,7 +235,7 @@
     }
     if (customer.waiting == 0 && hasRoom(state, options, customer, now)) {
         dispatch(state, customer, request);
-        return { .outcome = AdmissionOutcome::Admitted, .refusal = {}, .displaced = {} };
+        return { .outcome = AdmissionOutcome::Admitted };
     }
     const Seconds wait = estimatedWait(state, waitingAhead(state, customer, request));
     if (wait > Seconds(options.longestWait)) {
--- a/packages/decisions/src/AttemptPlan.cpp
+++ b/packages/decisions/src/AttemptPlan.cpp
@@ -14,7 +14,7 @@
 
     FinalAnswer finalAnswer(const EndedAttempt& attempt, const AttemptOptions& options, ResultCode code, std::chrono::milliseconds wait)
     {
-        FinalAnswer answer { .code = code, .runState = runStateAfter(attempt), .retryAfter = {}, .attemptCode = attemptResult(attempt.end) };
+        FinalAnswer answer { .code = code, .runState = runStateAfter(attempt), .attemptCode = attemptResult(attempt.end) };
         if (resultInfo(code).retryable) {
             const auto asked = attempt.serverRetryAfter.value_or(std::chrono::milliseconds(0));
             answer.retryAfter = boundedRetryAfter(std::max(wait, asked), options);
