--- a/benchmark/routing/Scenario.h
+++ b/benchmark/routing/Scenario.h
@@ -7,6 +7,7 @@
 #include "siskinspread/Routing.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace siskinspread::benchmark {
@@ -16,6 +17,7 @@
     BoundedPrefix, /**< chooseBackendServer. */
     RoundRobin,
     LeastReportedLoad,
+    LeastOfTwo,
     PlainPrefixHash,
 };
 
@@ -27,6 +29,7 @@
     bool cacheEvents { true };
     bool ownHints { true }; /**< This host's own dispatches count as cache hints. */
     RoutingOptions routing {};
+    std::optional<uint32_t> instructionTokens {}; /**< In place of the scenario's. */
     PoolOptions pool {};
     PrefixPopularity popularity {};
     size_t plainKeyBlocks { 24 }; /**< Depth of the plain prefix hash. */
@@ -39,6 +42,7 @@
     std::string name;
     std::string workload;
     RoutingWeights weights;
+    uint32_t instructionTokens { 1200 }; /**< As the service file would say it. */
     std::chrono::milliseconds reportInterval { 500 };
     std::chrono::milliseconds reportDelay { 700 };
     std::chrono::microseconds betweenDomains { 1200 };
