Run requests that may not be repeated at the owner of their key

Slices of the keys have one owner each, in the object slices; a slice moves after the log of its owner is closed. Entry hosts pass such a request on to the owner, which records the intent, dispatches once, records the outcome and answers; a second try gets the recorded answer. Calls that may be repeated pass through to plain services.

--- a/packages/daemon/include/siskinspread/CallerRoutes.h
+++ b/packages/daemon/include/siskinspread/CallerRoutes.h
@@ -3,7 +3,9 @@
 #include "siskinspread/AccountLookups.h"
 #include "siskinspread/CallerResponse.h"
 #include "siskinspread/HostContext.h"
+#include "siskinspread/KeyedRequests.h"
 #include "siskinspread/ModelRequests.h"
+#include "siskinspread/PlainRequests.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServicePools.h"
 #include "siskinspread/Target.h"
@@ -24,6 +26,9 @@
         ServicePools& pools;
         RequestRegister& requests;
         ModelRequests& models;
+        PlainRequests& plain;
+        KeyedRequests& keyed;
+        const SliceKeeper& slices;
         AccountLookups& accounts;
         const LogWriter& log;
     };
@@ -40,6 +45,7 @@
     bool handleHealth(const IncomingRequest&, const Target&);
     void handleAccount(const IncomingRequest&, const Target&, const std::string& customer);
     void handleWork(const IncomingRequest&, const Target&, const std::string& customer);
+    void handlePlain(const IncomingRequest&, const std::string& customer, std::chrono::milliseconds timeLeft);
     bool refuseWork(ExchangeId);
     std::optional<std::chrono::milliseconds> timeLeft(const IncomingRequest&);
     void refuse(ExchangeId, const Refusal&);
--- /dev/null
+++ b/packages/daemon/include/siskinspread/KeyedRequests.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "siskinspread/CallerResponse.h"
+#include "siskinspread/HostContext.h"
+#include "siskinspread/OwnerDesk.h"
+#include "siskinspread/PeerCalls.h"
+#include "siskinspread/RequestRegister.h"
+#include "siskinspread/SliceKeeper.h"
+
+#include <string>
+
+namespace siskinspread {
+
+/** Path on the peer port at which an entry host passes a non-repeatable request to the owner of its key. */
+constexpr const char* executePath = "/peer/execute";
+
+/**
+ * Takes requests that may not be repeated and brings each to the owner of its idempotency key: the desk of this host, or
+ * another host. Thread safety: decide thread only.
+ */
+class KeyedRequests {
+public:
+    struct Parts {
+        RequestRegister& requests;
+        OwnerDesk& desk;
+        SliceKeeper& slices;
+    };
+
+    KeyedRequests(HostContext&, Parts);
+
+    /** Takes a caller's request whose service file says that it may not be repeated. */
+    void accept(const IncomingRequest&, const OwnedRequest&);
+
+    /** @return whether the request is one that another entry host passed on; it is then taken. */
+    bool handlePeer(const IncomingRequest&);
+
+private:
+    void answerCaller(ExchangeId, const AnswerRequest&);
+    void relay(ExchangeId, const schema::PeerSettings& owner, const OwnedRequest&);
+    void onRelayEnded(ExchangeId, const OwnedRequest&, const TransferEnded&);
+    void refuse(ExchangeId, const Refusal&);
+
+    HostContext& m_context;
+    Parts m_parts;
+};
+
+} // namespace siskinspread
--- a/packages/daemon/include/siskinspread/RequestRegister.h
+++ b/packages/daemon/include/siskinspread/RequestRegister.h
@@ -24,8 +24,11 @@
     /** @return the id of a request that is refused before it is accepted. */
     std::string refusalId();
 
-    /** Accepts a request: from here on it has exactly one account. `needsIntent`: it may not be repeated. */
-    RequestId accept(const std::string& customer, const std::string& service, bool needsIntent);
+    /** @return the id of a request whose account the at-most-once decision keeps and writes. */
+    RequestId issueId(bool needsIntent);
+
+    /** Accepts a request: from here on it has exactly one account. */
+    RequestId accept(const std::string& customer, const std::string& service);
 
     /** Notes an attempt at a backend server. */
     void recordAttempt(const RequestId&, const std::string& backendServer);
@@ -33,9 +36,6 @@
     /** Ends an open request and appends its account to the log. Ids that are not open are ignored. */
     void finish(const RequestId&, ResultCode, RunState);
 
-    /** Ends an open request whose account the at-most-once decision writes itself. */
-    void forget(const RequestId&);
-
     /** @return what is known of an open request or of one whose account is being written. */
     std::optional<AccountAnswer> find(const RequestId&) const;
 
--- a/packages/daemon/src/AccountLookups.cpp
+++ b/packages/daemon/src/AccountLookups.cpp
@@ -1,6 +1,6 @@
 #include "siskinspread/AccountLookups.h"
 
-#include "siskinspread/RecordCodec.h"
+#include "siskinspread/LogReads.h"
 
 #include <nlohmann/json.hpp>
 
@@ -40,35 +40,6 @@
         return text;
     }
 
-    /** @return the event of a read of one batch; nothing found is an answer, no answer is a failure. */
-    LogClosingEvent batchEvent(uint64_t number, const TransferEnded& ended)
-    {
-        const StoreResult result = storeResult(ended, false);
-        if (result == StoreResult::Absent) {
-            return BatchFound { .number = number, .batch = std::nullopt };
-        }
-        LastReason reason;
-        auto batch = result == StoreResult::Done ? decodeLogBatch(ended.body, reason) : std::nullopt;
-        if (!batch) {
-            return CallFailed {};
-        }
-        return BatchFound { .number = number, .batch = std::move(batch) };
-    }
-
-    LogClosingEvent sealedEvent(const TransferEnded& ended)
-    {
-        const StoreResult result = storeResult(ended, false);
-        if (result == StoreResult::Absent) {
-            return SealedCopyFound { .copy = std::nullopt };
-        }
-        LastReason reason;
-        auto copy = result == StoreResult::Done ? decodeSealedCopy(ended.body, reason) : std::nullopt;
-        if (!copy) {
-            return CallFailed {};
-        }
-        return SealedCopyFound { .copy = std::move(copy) };
-    }
-
 } // namespace
 
 AccountLookups::AccountLookups(HostContext& context, Timers& timers, const ObjectApiOptions& store, Local local, Ask ask)
@@ -136,17 +107,12 @@
 
 void AccountLookups::run(uint64_t id, const ReadBatch& action)
 {
-    const uint64_t number = action.number;
-    m_context.platform.start(readObject(m_store, logBatchName(action.incarnation, number)), [this, id, number](const ClientEvent& event) {
-        raise(id, LookupRead { .event = batchEvent(number, std::get<TransferEnded>(event)) });
-    });
+    readLogBatch(m_context, m_store, action, [this, id](const LogClosingEvent& event) { raise(id, LookupRead { .event = event }); });
 }
 
 void AccountLookups::run(uint64_t id, const ReadSealedCopy& action)
 {
-    m_context.platform.start(readObject(m_store, sealedCopyName(action.incarnation)), [this, id](const ClientEvent& event) {
-        raise(id, LookupRead { .event = sealedEvent(std::get<TransferEnded>(event)) });
-    });
+    readSealedCopy(m_context, m_store, action, [this, id](const LogClosingEvent& event) { raise(id, LookupRead { .event = event }); });
 }
 
 void AccountLookups::run(uint64_t id, const LookupDone& action)
--- a/packages/daemon/src/CallerRoutes.cpp
+++ b/packages/daemon/src/CallerRoutes.cpp
@@ -1,5 +1,6 @@
 #include "siskinspread/CallerRoutes.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace siskinspread {
@@ -22,6 +23,28 @@
         return authorization->substr(bearer.size());
     }
 
+    /** The first segment of a target names the service; the rest, with its query, is the path there. */
+    struct ServiceTarget {
+        std::string_view name;
+        std::string path;
+    };
+
+    ServiceTarget splitService(std::string_view target)
+    {
+        target.remove_prefix(std::min<size_t>(target.size(), 1));
+        const size_t end = target.find('/');
+        if (end == std::string_view::npos) {
+            return { .name = target, .path = "/" };
+        }
+        return { .name = target.substr(0, end), .path = std::string { target.substr(end) } };
+    }
+
+    bool isNonRepeatable(const schema::Service& service, std::string_view method, std::string_view path)
+    {
+        const auto& calls = service.non_repeatable_calls();
+        return std::any_of(calls.begin(), calls.end(), [&](const auto& call) { return call.method() == method && path.starts_with(call.path_prefix()); });
+    }
+
 } // namespace
 
 CallerRoutes::CallerRoutes(HostContext& context, Parts parts)
@@ -88,7 +111,8 @@
         refuse(request.exchange, { .code = ResultCode::MalformedRequest, .detail = "use /accounts/REQUEST-ID or /accounts?key=KEY" });
         return;
     }
-    m_parts.accounts.start(query, {}, [this, exchange = request.exchange, customer](const AccountAnswer& answer) {
+    const auto candidates = query.key ? m_parts.slices.ownersOfKey(*query.key) : std::vector<IncarnationId> {};
+    m_parts.accounts.start(query, candidates, [this, exchange = request.exchange, customer](const AccountAnswer& answer) {
         const bool isTheirs = answer.account.customer.empty() || answer.account.customer == customer;
         if (answer.standing == AccountStanding::NotFound || !isTheirs) {
             refuse(exchange, { .code = ResultCode::UnknownRequest, .detail = isTheirs ? answer.advice : "" });
@@ -111,7 +135,29 @@
         m_parts.models.accept(request, customer, *left);
         return;
     }
-    refuse(request.exchange, { .code = ResultCode::UnknownPath });
+    handlePlain(request, customer, *left);
+}
+
+void CallerRoutes::handlePlain(const IncomingRequest& request, const std::string& customer, std::chrono::milliseconds left)
+{
+    const auto [name, path] = splitService(request.target);
+    const auto service = m_parts.pools.services().find(name);
+    if (service == m_parts.pools.services().end() || service->second->service.kind() != schema::PLAIN) {
+        refuse(request.exchange, { .code = name.empty() ? ResultCode::UnknownPath : ResultCode::UnknownService });
+        return;
+    }
+    if (!isNonRepeatable(service->second->service, request.method, path)) {
+        m_parts.plain.accept(request, service->second, path, customer, left);
+        return;
+    }
+    m_parts.keyed.accept(request,
+        { .key = { .customer = customer, .text = std::string { findHeader(request.headers, header::idempotencyKey).value_or("") } },
+            .service = std::string { name },
+            .method = request.method,
+            .path = path,
+            .body = request.body,
+            .entryHost = m_context.settings.host().name(),
+            .timeLeft = left });
 }
 
 bool CallerRoutes::refuseWork(ExchangeId exchange)
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -5,14 +5,20 @@
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationCodec.h"
 #include "siskinspread/ConfigurationWatch.h"
+#include "siskinspread/KeyedRequests.h"
+#include "siskinspread/LogCloser.h"
 #include "siskinspread/LogWriter.h"
 #include "siskinspread/ModelRequests.h"
 #include "siskinspread/OperatorRoutes.h"
+#include "siskinspread/OwnerDesk.h"
 #include "siskinspread/PeerAccounts.h"
 #include "siskinspread/PeerCalls.h"
+#include "siskinspread/PeerDirectory.h"
+#include "siskinspread/PlainRequests.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServerChannel.h"
 #include "siskinspread/ServicePools.h"
+#include "siskinspread/SliceKeeper.h"
 #include "siskinspread/Timers.h"
 
 #include <algorithm>
@@ -99,6 +105,9 @@
         m_platform.startClient();
         m_peers.startClient();
         m_watch.start();
+        m_directory.start();
+        m_slices.start();
+        m_writer.onEnded = [this](bool planned) { onLogEnded(planned); };
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
         while (!isFinished()) {
@@ -147,6 +156,7 @@
         m_platform.dispatchEvents();
         m_peers.dispatchEvents();
         m_timers.run(m_context.now);
+        m_desk.tick();
         m_writer.tick();
         m_callers.flush();
         m_peerCallers.flush();
@@ -159,7 +169,9 @@
             if (const auto* request = std::get_if<IncomingRequest>(event.get())) {
                 m_routes.handle(*request);
             } else {
-                m_models.callerClosed(std::get<ExchangeClosed>(*event).exchange);
+                const ExchangeId exchange = std::get<ExchangeClosed>(*event).exchange;
+                m_models.callerClosed(exchange);
+                m_plain.callerClosed(exchange);
             }
         }
     }
@@ -168,7 +180,7 @@
     {
         while (const auto event = m_peerCallers.next()) {
             const auto* request = std::get_if<IncomingRequest>(event.get());
-            if (request && !m_peerCalls.handle(*request) && !m_operators.handle(*request)) {
+            if (request && !m_peerCalls.handle(*request) && !m_keyed.handlePeer(*request) && !m_operators.handle(*request)) {
                 sendRefusal(m_context, m_peerCallers, request->exchange, "", { .code = ResultCode::UnknownPath });
             }
         }
@@ -203,10 +215,11 @@
         }
         if (!m_routes.isDraining()) {
             m_routes.beginDraining();
+            m_slices.release();
             m_graceEnds = m_context.now + std::chrono::milliseconds { m_settings.drain().grace_ms() };
-            m_log.write({ .level = LogLevel::Info, .message = "planned stop begins", .fields = { { .name = "open_requests", .value = m_requests.openCount() } } });
+            m_log.write({ .level = LogLevel::Info, .message = "planned stop begins", .fields = { { .name = "open_requests", .value = openRequests() } } });
         }
-        if (!m_closingBegan && (!m_requests.openCount() || m_context.now >= m_graceEnds)) {
+        if (!m_closingBegan && (!openRequests() || m_context.now >= m_graceEnds)) {
             m_closingBegan = true;
             m_closingEnds = m_context.now + closingTime;
             m_leaveAt = m_context.now + lastWriteTime;
@@ -214,6 +227,23 @@
         }
     }
 
+    size_t openRequests() const
+    {
+        return m_requests.openCount() + m_desk.openCount();
+    }
+
+    // Another host has closed the log: this incarnation can record nothing any more and makes way for a new one.
+    void onLogEnded(bool planned)
+    {
+        m_desk.logEnded();
+        if (planned) {
+            m_directory.sayGoodbye();
+            return;
+        }
+        m_log.write({ .level = LogLevel::Error, .message = "the log of this incarnation was closed by another host; stopping", .code = ResultCode::LogClosed });
+        requestStop();
+    }
+
     bool isFinished() const
     {
         if (!m_closingBegan) {
@@ -235,7 +265,12 @@
 
     AccountAnswer localAccount(const AccountQuery& query) const
     {
-        return m_requests.find(query.request).value_or(AccountAnswer { .standing = AccountStanding::NotFound, .request = query.request, .account = {}, .key = {}, .recordedBy = m_context.incarnation.text, .advice = {} });
+        if (const auto known = m_requests.find(query.request)) {
+            return *known;
+        }
+        AccountAnswer answer = accountFromOwner(m_desk.state(), query);
+        answer.recordedBy = m_context.incarnation.text;
+        return answer;
     }
 
     const schema::Settings m_settings;
@@ -267,12 +302,18 @@
     RequestRegister m_requests { m_context, m_writer };
     ServicePools m_pools { m_context };
     ModelRequests m_models { m_context, m_timers, m_pools, m_requests };
+    PlainRequests m_plain { m_context, m_timers, m_requests };
     PeerCalls m_peerCalls { m_context };
+    PeerDirectory m_directory { m_context, m_timers, m_peerCalls };
+    LogCloser m_closer { m_context, m_timers, m_store };
+    OwnerDesk m_desk { m_context, m_pools, m_requests, m_writer };
+    SliceKeeper m_slices { m_context, { .timers = m_timers, .peers = m_directory, .closer = m_closer, .desk = m_desk }, m_store };
+    KeyedRequests m_keyed { m_context, { .requests = m_requests, .desk = m_desk, .slices = m_slices } };
     PeerAccounts m_peerAccounts { m_context, m_peerCalls, [this](const AccountQuery& query) { return localAccount(query); } };
     AccountLookups m_accounts { m_context, m_timers, m_store, [this](const AccountQuery& query) { return localAccount(query); },
         [this](const IncarnationId& incarnation, const AccountQuery& query, PeerAccounts::Done done) { m_peerAccounts.ask(incarnation, query, std::move(done)); } };
-    CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .accounts = m_accounts, .log = m_writer } };
-    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [](const IdempotencyKey&) { return std::vector<IncarnationId> {}; } } };
+    CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .log = m_writer } };
+    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); } } };
     ConfigurationWatch m_watch { m_context, m_timers, m_store, [this](const std::string& content) { onConfiguration(content); } };
     MonotonicTime m_graceEnds {};
     MonotonicTime m_closingEnds {};
--- a/packages/daemon/src/ModelRequests.cpp
+++ b/packages/daemon/src/ModelRequests.cpp
@@ -77,7 +77,7 @@
     request->promptTokens = static_cast<uint32_t>(prompt.size() / bytesPerToken + 1);
     request->deadline = m_context.now + timeLeft;
     request->body = std::move(body);
-    request->id = m_register.accept(customer, model, false);
+    request->id = m_register.accept(customer, model);
     ModelRequest& accepted = *request;
     m_byExchange.emplace(accepted.exchange, accepted.id);
     m_requests.emplace(accepted.id, std::move(request));
--- a/packages/daemon/src/RequestRegister.cpp
+++ b/packages/daemon/src/RequestRegister.cpp
@@ -13,10 +13,15 @@
     return m_context.incarnation.text + std::string { refusalMark } + std::to_string(++m_lastRefusal);
 }
 
-RequestId RequestRegister::accept(const std::string& customer, const std::string& service, bool needsIntent)
+RequestId RequestRegister::issueId(bool needsIntent)
 {
     m_lastSequence = nextSequence(m_lastSequence, needsIntent);
-    const RequestId id { .incarnation = m_context.incarnation, .sequence = m_lastSequence };
+    return { .incarnation = m_context.incarnation, .sequence = m_lastSequence };
+}
+
+RequestId RequestRegister::accept(const std::string& customer, const std::string& service)
+{
+    const RequestId id = issueId(false);
     AccountEntry account;
     account.request = id;
     account.customer = customer;
@@ -62,13 +67,6 @@
     m_log.append(std::move(account), [this, id](bool, ResultCode) { m_recording.erase(id); });
 }
 
-void RequestRegister::forget(const RequestId& id)
-{
-    if (m_open.erase(id)) {
-        m_context.metrics.changeOpenRequests(-1);
-    }
-}
-
 std::optional<AccountAnswer> RequestRegister::find(const RequestId& id) const
 {
     AccountAnswer answer;
