Copy log entries to a second host while the store is away

Each host declares a copy holder in its log, a peer of its own failure domain first, so that a domain that is cut off from the platform goes on recording intents. A takeover seals the copies at the holder after it has closed the log.

--- a/packages/daemon/include/siskinspread/LogCloser.h
+++ b/packages/daemon/include/siskinspread/LogCloser.h
@@ -23,6 +23,9 @@
     /** Closes the log and passes on its history, at once when it is known already. Retries while the store is away. */
     void close(const IncarnationId&, Done);
 
+    /** Seals copies at a holder; ends in CopiesSealed, CopyHolderGone or CallFailed. Set before the first close. */
+    std::function<void(const SealCopies&, std::function<void(const LogClosingEvent&)>)> sealCopies;
+
     /** @return the history of a log that this host has closed or read to its closing entry, or null. */
     const LogHistory* find(const IncarnationId&) const;
 
--- a/packages/daemon/include/siskinspread/LogWriter.h
+++ b/packages/daemon/include/siskinspread/LogWriter.h
@@ -38,6 +38,15 @@
     /** Raise at least every 50 ms. */
     void tick();
 
+    /** @return the copy holder that the log declares or is about to declare. */
+    const std::optional<IncarnationId>& declaredHolder() const { return m_state.pendingHolder ? m_state.pendingHolder : m_state.copyHolder; }
+
+    /** Declares a copy holder. */
+    void chooseHolder(const IncarnationId&);
+
+    /** Sends copies to the holder and passes on its answer. */
+    std::function<void(const SendCopies&, std::function<void(const IncarnationLogEvent&)>)> sendCopies;
+
     /** Called when the log has ended; `planned` when this host closed it itself. */
     std::function<void(bool planned)> onEnded;
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationCodec.h"
 #include "siskinspread/ConfigurationWatch.h"
+#include "siskinspread/CopyDesk.h"
 #include "siskinspread/KeyedRequests.h"
 #include "siskinspread/LogCloser.h"
 #include "siskinspread/LogWriter.h"
@@ -107,6 +108,9 @@
         m_watch.start();
         m_directory.start();
         m_slices.start();
+        m_writer.sendCopies = [this](const SendCopies& action, std::function<void(const IncarnationLogEvent&)> done) { m_copies.send(action, std::move(done)); };
+        m_closer.sealCopies = [this](const SealCopies& action, CopyDesk::SealDone done) { m_copies.seal(action, std::move(done)); };
+        m_copies.keepHolder(m_writer);
         m_writer.onEnded = [this](bool planned) { onLogEnded(planned); };
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
@@ -305,6 +309,7 @@
     PlainRequests m_plain { m_context, m_timers, m_requests };
     PeerCalls m_peerCalls { m_context };
     PeerDirectory m_directory { m_context, m_timers, m_peerCalls };
+    CopyDesk m_copies { m_context, m_timers, m_peerCalls, m_directory };
     LogCloser m_closer { m_context, m_timers, m_store };
     OwnerDesk m_desk { m_context, m_pools, m_requests, m_writer };
     SliceKeeper m_slices { m_context, { .timers = m_timers, .peers = m_directory, .closer = m_closer, .desk = m_desk }, m_store };
--- a/packages/daemon/src/LogCloser.cpp
+++ b/packages/daemon/src/LogCloser.cpp
@@ -88,9 +88,9 @@
         [this, incarnation](const ClientEvent&) { raise(incarnation, CreateEnded {}); });
 }
 
-void LogCloser::run(const IncarnationId& incarnation, const SealCopies&)
+void LogCloser::run(const IncarnationId& incarnation, const SealCopies& action)
 {
-    raise(incarnation, CallFailed {}); // no host declares a copy holder yet, so there is nobody to ask
+    sealCopies(action, [this, incarnation](const LogClosingEvent& event) { raise(incarnation, event); });
 }
 
 void LogCloser::run(const IncarnationId& incarnation, const HistoryRead&)
--- a/packages/daemon/src/LogWriter.cpp
+++ b/packages/daemon/src/LogWriter.cpp
@@ -109,9 +109,16 @@
     raise(BatchRead { .number = number, .writer = batch->writer });
 }
 
-void LogWriter::run(const SendCopies&)
+void LogWriter::chooseHolder(const IncarnationId& holder)
 {
-    // No copy holder is declared yet, so the decision sends no copies.
+    raise(CopyHolderChosen { .holder = holder });
+}
+
+void LogWriter::run(const SendCopies& action)
+{
+    if (sendCopies) {
+        sendCopies(action, [this](const IncarnationLogEvent& event) { raise(event); });
+    }
 }
 
 void LogWriter::run(const EntryDurable& action)
@@ -144,6 +151,7 @@
 
 void LogWriter::run(const CopyHolderNeeded&)
 {
+    // CopyDesk::keepHolder sees that none is declared and chooses another one.
 }
 
 } // namespace siskinspread
--- a/packages/daemon/src/PeerAccounts.cpp
+++ b/packages/daemon/src/PeerAccounts.cpp
@@ -1,5 +1,6 @@
 #include "siskinspread/PeerAccounts.h"
 
+#include "siskinspread/Hex.h"
 #include "siskinspread/RecordCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -10,33 +11,6 @@
 
     constexpr const char* accountMethod = "account";
 
-    // Binary records travel in JSON as arrays of bytes' hexadecimal digits.
-    std::string toHex(std::string_view bytes)
-    {
-        constexpr std::string_view digits = "0123456789abcdef";
-        std::string hex;
-        hex.reserve(bytes.size() * 2);
-        for (const char c : bytes) {
-            hex += digits[static_cast<unsigned char>(c) >> 4];
-            hex += digits[static_cast<unsigned char>(c) & 15];
-        }
-        return hex;
-    }
-
-    int digitValue(char c)
-    {
-        return c <= '9' ? c - '0' : c - 'a' + 10;
-    }
-
-    std::string fromHex(std::string_view hex)
-    {
-        std::string bytes;
-        for (size_t i = 0; i + 1 < hex.size(); i += 2) {
-            bytes += static_cast<char>(digitValue(hex[i]) * 16 + digitValue(hex[i + 1]));
-        }
-        return bytes;
-    }
-
     nlohmann::json paramsOf(const IncarnationId& incarnation, const AccountQuery& query)
     {
         nlohmann::json params { { "incarnation", incarnation.text }, { "of", query.request.incarnation.text }, { "sequence", query.request.sequence } };
