Follow backend servers from joining to gone by whichever sign comes first

Cause: a leaving server must be out of routing within seconds although list, notice, refusal and peers lag differently; one blind observer must not remove servers, nor bad observations a whole pool. Change: BackendServerStatus. Signs are about one run of a server; a leave sign takes that run out for good and spreads by rumour and by the observers' reports. Unreachable needs all observers and no contrary word; half of a pool's servers without leave sign stays in use whatever observers and list say. Found by the tests: a failed probe must count whatever run the observer last saw there, or two observers that last saw different runs never agree on a death.

--- /dev/null
+++ b/packages/decisions/src/BackendServerStatus.cpp
@@ -0,0 +1,333 @@
+#include "siskinspread/BackendServerStatus.h"
+
+#include "RendezvousOrder.h"
+
+#include <algorithm>
+
+namespace siskinspread {
+
+namespace {
+
+    struct Stepper {
+        BackendServerStatusState& state;
+        const ServerStatusOptions& options;
+        MonotonicTime now;
+        std::vector<ServerAction>& actions;
+
+        ServerState* find(const std::string& name) const
+        {
+            const auto entry = state.servers.find(name);
+            return entry == state.servers.end() ? nullptr : &entry->second;
+        }
+
+        // --- phases
+
+        void setPhase(ServerState& server, ServerPhase phase) const
+        {
+            if (server.phase != phase) {
+                server.phase = phase;
+                actions.emplace_back(ServerPhaseChanged { .server = server.spec.name, .phase = phase });
+            }
+        }
+
+        static bool hasLeft(const ServerState& server, const ServerInstance& instance)
+        {
+            return std::find(server.left.begin(), server.left.end(), instance) != server.left.end();
+        }
+
+        /** @return whether this is news. */
+        bool noteLeave(ServerState& server, const ServerInstance& instance) const
+        {
+            if (hasLeft(server, instance)) {
+                return false;
+            }
+            server.left.push_back(instance);
+            if (server.left.size() > options.rememberedInstances) {
+                server.left.erase(server.left.begin());
+            }
+            if (instance == server.instance && server.phase != ServerPhase::Gone) {
+                setPhase(server, ServerPhase::Leaving);
+            }
+            return true;
+        }
+
+        void takeLeaveSign(const std::string& name, const ServerInstance& instance) const
+        {
+            ServerState* server = find(name);
+            if (!server || !noteLeave(*server, instance)) {
+                return;
+            }
+            std::vector<std::string> hosts = state.observers;
+            std::erase(hosts, state.self);
+            hosts = rendezvousOrder(state.self + "/" + instance, std::move(hosts));
+            hosts.resize(std::min<size_t>(hosts.size(), options.leaveFanout));
+            actions.emplace_back(ShareLeave { .hosts = std::move(hosts), .server = name, .instance = instance });
+            if (server->observedHere) {
+                shareChange(*server);
+            }
+        }
+
+        /** Another run of the server has shown itself: it starts anew. */
+        void begin(ServerState& server, const ServerInstance& instance) const
+        {
+            server.instance = instance;
+            for (auto& [observer, evidence] : server.evidence) {
+                evidence.reachable.reset();
+            }
+            server.reachedAt.reset();
+            server.failures = 0;
+            server.reported.reset();
+            setPhase(server, hasLeft(server, instance) ? ServerPhase::Leaving : ServerPhase::Joining);
+        }
+
+        void noteReached(ServerState& server, const ServerInstance& instance) const
+        {
+            const bool returns = server.phase == ServerPhase::Gone && !hasLeft(server, instance);
+            if (instance != server.instance || returns) {
+                begin(server, instance);
+            }
+            server.reachedAt = now;
+            if (server.phase == ServerPhase::Joining) {
+                setPhase(server, ServerPhase::Live);
+            }
+        }
+
+        void removeIfGone(ServerState& server) const
+        {
+            const bool isUnlisted = server.phase == ServerPhase::Live && !server.listed;
+            if ((server.phase != ServerPhase::Leaving && !isUnlisted) || !isJudgedUnreachable(state, options, server, now)) {
+                return;
+            }
+            // A wrong list and wrong observations together may not empty a pool either.
+            if (isUnlisted && routableServers(state, options, server.spec.pool, now).keptUnreachable) {
+                return;
+            }
+            setPhase(server, ServerPhase::Gone);
+        }
+
+        // --- observing
+
+        ServerObservation observationOf(const ServerState& server) const
+        {
+            return { .observer = state.self,
+                .sequence = ++state.sequence,
+                .server = server.spec.name,
+                .instance = server.instance,
+                .reachable = server.reported.value_or(false),
+                .leaving = hasLeft(server, server.instance),
+                .load = server.load,
+                .observers = observerCount() };
+        }
+
+        uint32_t observerCount() const { return static_cast<uint32_t>(std::min<size_t>(options.observersOfServer, state.observers.size())); }
+
+        bool isDueForOtherDomains(ServerState& server) const
+        {
+            const bool isFailure = server.reported == false && server.phase != ServerPhase::Gone && now >= server.nextRemoteAt;
+            if (!server.remoteRepeatsLeft && !isFailure) {
+                return false;
+            }
+            server.remoteRepeatsLeft -= server.remoteRepeatsLeft ? 1 : 0;
+            server.nextRemoteAt = now + options.remoteInterval;
+            return true;
+        }
+
+        void share(const std::vector<ServerState*>& servers) const
+        {
+            ShareObservations message;
+            for (ServerState* server : servers) {
+                if (!server->reported) {
+                    continue;
+                }
+                message.observations.push_back(observationOf(*server));
+                if (isDueForOtherDomains(*server)) {
+                    message.forOtherDomains.push_back(message.observations.back());
+                }
+            }
+            if (!message.observations.empty()) {
+                actions.emplace_back(std::move(message));
+            }
+        }
+
+        void shareChange(ServerState& server) const
+        {
+            server.remoteRepeatsLeft = options.remoteRepeats;
+            share({ &server });
+        }
+
+        void shareAll() const
+        {
+            std::vector<ServerState*> observed;
+            for (auto& [name, server] : state.servers) {
+                if (server.observedHere) {
+                    observed.push_back(&server);
+                }
+            }
+            share(observed);
+        }
+
+        void chooseObserved() const
+        {
+            for (auto& [name, server] : state.servers) {
+                const auto chosen = observersOf(name, state.observers, options.observersOfServer);
+                const bool isChosen = std::find(chosen.begin(), chosen.end(), state.self) != chosen.end();
+                const bool observes = server.spec.failureDomain == state.selfDomain && isChosen;
+                if (!observes) {
+                    server.reported.reset();
+                    server.failures = 0;
+                }
+                server.observedHere = observes;
+            }
+        }
+
+        void noteOwnObservation(ServerState& server, bool reachable) const
+        {
+            const bool changed = server.reported != reachable;
+            server.reported = reachable;
+            server.evidence[state.self] = { .sequence = state.sequence, .reachable = reachable, .at = now, .observers = observerCount() };
+            if (changed) {
+                shareChange(server);
+            }
+        }
+
+        // --- events
+
+        void operator()(const ServersConfigured& configured) const
+        {
+            std::set<std::string> names;
+            for (const ServerSpec& spec : configured.servers) {
+                names.insert(spec.name);
+                state.servers[spec.name].spec = spec;
+            }
+            std::erase_if(state.servers, [&](const auto& item) { return !names.contains(item.first); });
+            chooseObserved();
+        }
+
+        void operator()(const ObserversChanged& changed) const
+        {
+            state.observers = changed.hosts;
+            chooseObserved();
+        }
+
+        void operator()(const HostListRead& list) const
+        {
+            for (auto& [name, server] : state.servers) {
+                server.listed = false;
+            }
+            for (const ListedServer& listed : list.servers) {
+                ServerState* server = find(listed.server);
+                if (!server) {
+                    continue;
+                }
+                server->listed = !listed.leaving;
+                if (listed.leaving) {
+                    takeLeaveSign(listed.server, listed.instance);
+                }
+            }
+        }
+
+        void operator()(const LeaveSign& sign) const { takeLeaveSign(sign.server, sign.instance); }
+
+        void operator()(const ServerEnded& ended) const
+        {
+            takeLeaveSign(ended.server, ended.instance);
+            ServerState* server = find(ended.server);
+            if (server && server->instance == ended.instance) {
+                setPhase(*server, ServerPhase::Gone);
+            }
+        }
+
+        void operator()(const ServerProbed& probed) const
+        {
+            ServerState* server = find(probed.server);
+            if (!server) {
+                return;
+            }
+            server->probeOpen = false;
+            server->nextProbeAt = now + options.probeInterval;
+            if (!server->observedHere) {
+                return;
+            }
+            if (probed.reachable) {
+                server->load = probed.load;
+                noteReached(*server, probed.instance);
+                server->failures = 0;
+                noteOwnObservation(*server, true);
+            } else if (++server->failures >= options.failuresToReport) {
+                noteOwnObservation(*server, false);
+            }
+            removeIfGone(*server);
+        }
+
+        void operator()(const ObservationHeard& heard) const
+        {
+            const ServerObservation& observation = heard.observation;
+            ServerState* server = find(observation.server);
+            if (!server || observation.observer == state.self) {
+                return;
+            }
+            if (observation.leaving) {
+                takeLeaveSign(observation.server, observation.instance);
+            }
+            const auto known = server->evidence.find(observation.observer);
+            if (known != server->evidence.end() && observation.sequence <= known->second.sequence) {
+                return; // overtaken by a later one
+            }
+            takeEvidence(*server, observation);
+            if (heard.fromOtherDomain) {
+                actions.emplace_back(ShareObservations { .observations = { observation }, .forOtherDomains = {} });
+            }
+            removeIfGone(*server);
+        }
+
+        void takeEvidence(ServerState& server, const ServerObservation& observation) const
+        {
+            if (observation.reachable) {
+                noteReached(server, observation.instance);
+                server.load = observation.load;
+            }
+            Evidence& evidence = server.evidence[observation.observer];
+            evidence.sequence = observation.sequence;
+            evidence.at = now;
+            evidence.observers = observation.observers;
+            evidence.reachable = observation.reachable; // a failure is about the address, whatever run was last seen there
+        }
+
+        void forgetOldEvidence(ServerState& server) const
+        {
+            std::erase_if(server.evidence, [this](const auto& item) { return now > item.second.at + 2 * options.remoteFreshness; });
+        }
+
+        void operator()(const TrafficReached& traffic) const
+        {
+            if (ServerState* server = find(traffic.server)) {
+                server->reachedAt = now;
+            }
+        }
+
+        void operator()(const ServersTick&) const
+        {
+            for (auto& [name, server] : state.servers) {
+                if (server.observedHere && !server.probeOpen && now >= server.nextProbeAt) {
+                    server.probeOpen = true;
+                    actions.emplace_back(ProbeServer { .server = name });
+                }
+                removeIfGone(server);
+                forgetOldEvidence(server);
+            }
+            if (now >= state.nextShareAt) {
+                state.nextShareAt = now + options.shareInterval;
+                shareAll();
+            }
+        }
+    };
+
+} // namespace
+
+void step(BackendServerStatusState& state, const ServerStatusOptions& options, const ServerEvent& event, MonotonicTime now,
+    std::vector<ServerAction>& actions)
+{
+    std::visit(Stepper { state, options, now, actions }, event);
+}
+
+} // namespace siskinspread
