--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -56,7 +56,9 @@
 /** One backend server as this entry host sees it. */
 struct BackendServerView {
     BackendServerDescription description;
+    // What every decision reads stands together, for the processor's cache.
     uint64_t nameHash { 0 };
+    double slowness { 1.0 }; /**< Mean between tokens relative to the pool's median; 1 unless slow, see refreshPoolView. */
     BackendStatus status { BackendStatus::Joining };
     bool reachable { true }; /**< False while this host cannot connect, for example across a network partition. */
     MonotonicTime liveSince;
@@ -65,7 +67,6 @@
     uint32_t ownInFlight { 0 };
     LatencyMean firstToken;
     LatencyMean betweenTokens;
-    double slowness { 1.0 }; /**< Mean between tokens relative to the pool's median; 1 unless slow, see refreshPoolView. */
 };
 
 /** Constants of the view. */
--- a/packages/decisions/include/siskinspread/RoutingPrefix.h
+++ b/packages/decisions/include/siskinspread/RoutingPrefix.h
@@ -2,6 +2,7 @@
 
 #include "siskinspread/Time.h"
 
+#include <bit>
 #include <chrono>
 #include <cstdint>
 #include <span>
@@ -22,8 +23,17 @@
  */
 std::vector<PrefixBlock> prefixBlocks(std::string_view prompt, size_t blockBytes, size_t maximumBlocks);
 
-/** Hash of a (block, server) pair for rendezvous hashing (Thaler and Ravishankar, 1998). Reentrant. */
-uint64_t rendezvousWeight(PrefixBlock block, uint64_t serverNameHash);
+/**
+ * Hash of a (block, server) pair for rendezvous hashing (Thaler and Ravishankar, 1998): the finalizer of SplitMix64
+ * (Steele, Lea and Flood, 2014) over two values that are hashes already. Reentrant.
+ */
+inline uint64_t rendezvousWeight(PrefixBlock block, uint64_t serverNameHash)
+{
+    uint64_t mixed = block ^ std::rotl(serverNameHash, 32);
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9U;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebU;
+    return mixed ^ (mixed >> 31);
+}
 
 /**
  * How much work began with each prefix block lately: a set-associative table of exponentially decaying sums with
--- a/packages/decisions/src/PoolView.cpp
+++ b/packages/decisions/src/PoolView.cpp
@@ -182,7 +182,8 @@
     }
     const bool reported = server.report && server.report->slots > 0;
     const double slots = reported ? server.report->slots : server.description.defaultSlots;
-    return slots * slowStartShare(view, server, now) / server.slowness;
+    const double warm = now - server.liveSince >= view.options.slowStart ? 1.0 : slowStartShare(view, server, now);
+    return slots * warm / server.slowness;
 }
 
 } // namespace siskinspread
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -18,7 +18,7 @@
         EstimatedLoad load;
         double slots { 0 };
         double homeTokens { 0 }; // prompt tokens expected in its cache because it is a home of their blocks
-        uint64_t rendezvous { 0 };
+        uint64_t nameHash { 0 };
     };
 
     struct Pool {
@@ -50,7 +50,7 @@
             if (!mayReceive(server, request.excluded)) {
                 continue;
             }
-            const Candidate candidate { .index = i, .load = estimateLoad(view, server, now), .slots = usableSlots(view, server, now) };
+            const Candidate candidate { .index = i, .load = estimateLoad(view, server, now), .slots = usableSlots(view, server, now), .nameHash = server.nameHash };
             pool.load += candidate.load.requests;
             pool.slots += candidate.slots;
             pool.meanPrice += server.description.pricePerHour;
@@ -60,42 +60,51 @@
         return pool;
     }
 
+    /** A candidate that is a home of the prompt's beginning so far. */
+    struct Home {
+        uint64_t weight { 0 };
+        size_t position { 0 }; // among the candidates
+    };
+
     /** Keeps the first `wanted` homes in rendezvous order of the block. */
-    void narrowHomes(std::vector<Candidate*>& homes, size_t wanted, PrefixBlock block, const PoolView& view)
+    void narrowHomes(std::vector<Home>& homes, size_t wanted, PrefixBlock block, const Pool& pool)
     {
-        for (Candidate* home : homes) {
-            home->rendezvous = rendezvousWeight(block, view.servers[home->index].nameHash);
+        for (Home& home : homes) {
+            home.weight = rendezvousWeight(block, pool.candidates[home.position].nameHash);
         }
         const auto end = homes.begin() + static_cast<std::ptrdiff_t>(wanted);
-        std::nth_element(homes.begin(), end - 1, homes.end(), [](const Candidate* left, const Candidate* right) {
-            return left->rendezvous > right->rendezvous;
-        });
+        std::nth_element(homes.begin(), end - 1, homes.end(), [](const Home& left, const Home& right) { return left.weight > right.weight; });
         homes.erase(end, homes.end());
     }
 
+    void creditEach(const std::vector<Home>& homes, double tokens, Pool& pool)
+    {
+        for (const Home& home : homes) {
+            pool.candidates[home.position].homeTokens = tokens;
+        }
+    }
+
     /** Credits each candidate with the prompt tokens that nested rendezvous places on it. */
     void creditHomes(Pool& pool, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
     {
-        std::vector<Candidate*> homes;
-        homes.reserve(pool.candidates.size());
-        for (Candidate& candidate : pool.candidates) {
-            homes.push_back(&candidate);
+        std::vector<Home> homes(pool.candidates.size());
+        for (size_t i = 0; i < homes.size(); ++i) {
+            homes[i].position = i;
         }
-        const double servers = static_cast<double>(pool.candidates.size());
+        const double servers = static_cast<double>(homes.size());
         const std::vector<PrefixUse> uses = prefixUses(view.popularity, request.blocks, now);
+        double credited = 0;
         for (size_t i = 0; i < request.blocks.size(); ++i) {
-            const PrefixBlock block = request.blocks[i];
             const PrefixUse& use = uses[i];
             const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
             const bool isInstructions = (i + 1) * request.tokensPerBlock <= options.instructionTokens;
             if (!isInstructions && wanted < static_cast<double>(homes.size())) {
-                narrowHomes(homes, static_cast<size_t>(wanted), block, view);
-            }
-            const double credit = use.seen ? 1.0 : options.unseenCredit;
-            for (Candidate* home : homes) {
-                home->homeTokens += credit * request.tokensPerBlock;
+                creditEach(homes, credited, pool);
+                narrowHomes(homes, static_cast<size_t>(wanted), request.blocks[i], pool);
             }
+            credited += (use.seen ? 1.0 : options.unseenCredit) * request.tokensPerBlock;
         }
+        creditEach(homes, credited, pool);
     }
 
     void addHint(CacheHints& hints, uint64_t serverNameHash, double tokens)
@@ -134,68 +143,95 @@
         return candidate.homeTokens;
     }
 
-    /** Time from dispatch until the server begins to compute the prompt. */
-    Milliseconds expectedWait(const Candidate& candidate, const BackendServerView& server, double prefillTokensPerSecond, const RoutingOptions& options)
-    {
-        const std::chrono::duration<double> queue { candidate.load.queuedPromptTokens * server.slowness / prefillTokensPerSecond };
-        const Milliseconds hold = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
-        const double slots = std::max(candidate.slots, 1.0);
-        const double excess = std::max(0.0, candidate.load.requests + 1 - slots);
-        return queue + hold * (excess / slots);
-    }
+    /** What is equal for all candidates of one decision, worked out once. Times are in milliseconds. */
+    struct Scale {
+        double prefillPerToken { 0 };
+        double hold { 0 }; // time that a request holds its slot
+        double cheapFirstToken { 0 };
+        double fullBatch { 0 };
+        double perPrice { 0 };
+        double tieUnit { 0 }; // per unit of a 64-bit hash
+        double timeLeft { 0 };
+    };
 
-    Milliseconds priceCost(const BackendServerView& server, const Pool& pool, const RoutingOptions& options)
+    Scale scaleOf(const PoolView& view, const Pool& pool, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
     {
-        if (pool.meanPrice <= 0) {
-            return Milliseconds(0);
-        }
-        return Milliseconds(options.priceSpread) * 2.0 * (server.description.pricePerHour / pool.meanPrice);
+        return {
+            .prefillPerToken = Milliseconds(std::chrono::seconds(1)).count() / view.options.prefillTokensPerSecond,
+            .hold = Milliseconds(options.expectedBetweenTokens).count() * options.expectedOutputTokens,
+            .cheapFirstToken = Milliseconds(options.firstTokenTarget).count() * options.cheapPart,
+            .fullBatch = Milliseconds(options.fullBatchCost).count(),
+            .perPrice = pool.meanPrice > 0 ? Milliseconds(options.priceSpread).count() * 2 / pool.meanPrice : 0,
+            .tieUnit = Milliseconds(options.tieSpread).count() / static_cast<double>(std::numeric_limits<uint64_t>::max()),
+            .timeLeft = Milliseconds(request.deadline - now).count(),
+        };
     }
 
-    Milliseconds tieBreak(const BackendServerView& server, const RouteRequest& request, const RoutingOptions& options)
+    /** Time from dispatch until the server begins to compute the prompt. */
+    double expectedWait(const Candidate& candidate, const BackendServerView& server, const Scale& scale, double use)
     {
-        const double part = static_cast<double>(rendezvousWeight(request.seed, server.nameHash)) / static_cast<double>(std::numeric_limits<uint64_t>::max());
-        return Milliseconds(options.tieSpread) * part;
+        const double queue = candidate.load.queuedPromptTokens * server.slowness * scale.prefillPerToken;
+        const double slots = std::max(candidate.slots, 1.0);
+        const double excess = std::max(0.0, use + 1 / slots - 1);
+        return queue + scale.hold * excess;
     }
 
     /** Time far inside the target is worth little; what counts is to stay inside it. */
-    Milliseconds latencyCost(Milliseconds firstToken, const RoutingOptions& options)
+    double latencyCost(double firstToken, const Scale& scale, const RoutingOptions& options)
     {
-        const Milliseconds cheap = std::min(firstToken, Milliseconds(options.firstTokenTarget) * options.cheapPart);
+        const double cheap = std::min(firstToken, scale.cheapFirstToken);
         return cheap * options.cheapLatency + (firstToken - cheap);
     }
 
     struct Scored {
+        size_t position { 0 }; // among the candidates
         double cost { 0 };
-        RouteChoice choice;
+        double missing { 0 };
+        double firstToken { 0 };
+        bool overBound { false };
     };
 
-    Scored score(const Candidate& candidate, const Pool& pool, const PoolView& view, const RouteRequest& request, const CacheHints& hints, const RoutingOptions& options, MonotonicTime now)
+    Scored score(const Candidate& candidate, const BackendServerView& server, const RouteRequest& request, const CacheHints& hints, const Scale& scale, const RoutingOptions& options)
     {
-        const BackendServerView& server = view.servers[candidate.index];
         const double missing = std::max(0.0, request.promptTokens - cachedTokens(candidate, server, hints));
-        const Milliseconds computing = std::chrono::duration<double>(missing * server.slowness / view.options.prefillTokensPerSecond);
-        const Milliseconds wait = expectedWait(candidate, server, view.options.prefillTokensPerSecond, options);
-        const Milliseconds firstToken = wait + computing + Milliseconds(server.description.oneWayDelay) * 2;
-        const Milliseconds answer = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
-        const Milliseconds slowAnswer = answer * (server.slowness - 1);
-        const Milliseconds crowding = Milliseconds(options.fullBatchCost) * (candidate.load.requests / std::max(candidate.slots, 1.0));
-        const Milliseconds latency = latencyCost(firstToken, options) + slowAnswer + crowding + priceCost(server, pool, options) + tieBreak(server, request, options);
-
-        double cost = options.weights.latencyBoundCost * latency.count() + options.weights.recomputedTokens * computing.count();
-        if (now + std::chrono::ceil<MonotonicTime::duration>(firstToken) > request.deadline) {
-            cost += missedDeadlineCost;
-        }
+        const double computing = missing * server.slowness * scale.prefillPerToken;
+        const double use = candidate.load.requests / std::max(candidate.slots, 1.0);
+        const double roundTrip = Milliseconds(server.description.oneWayDelay).count() * 2;
+        const double firstToken = expectedWait(candidate, server, scale, use) + computing + roundTrip;
+        const double slowAnswer = scale.hold * (server.slowness - 1);
+        const double tie = static_cast<double>(rendezvousWeight(request.seed, server.nameHash)) * scale.tieUnit;
+        const double price = server.description.pricePerHour * scale.perPrice;
+        const double latency = latencyCost(firstToken, scale, options) + slowAnswer + use * scale.fullBatch + price + tie;
+        const double late = firstToken > scale.timeLeft ? missedDeadlineCost : 0;
         return {
-            .cost = cost,
-            .choice = {
-                .index = candidate.index,
-                .missingTokens = static_cast<uint32_t>(missing),
-                .expectedFirstToken = std::chrono::ceil<std::chrono::microseconds>(firstToken),
-            },
+            .cost = options.weights.latencyBoundCost * latency + options.weights.recomputedTokens * computing + late,
+            .missing = missing,
+            .firstToken = firstToken,
         };
     }
 
+    /** The cheapest candidate inside its bound, or of all when none is inside. */
+    Scored cheapest(const Pool& pool, const PoolView& view, const RouteRequest& request, const CacheHints& hints, const RoutingOptions& options, MonotonicTime now)
+    {
+        const Scale scale = scaleOf(view, pool, request, options, now);
+        Scored best { .cost = std::numeric_limits<double>::infinity(), .overBound = true };
+        for (size_t i = 0; i < pool.candidates.size(); ++i) {
+            const Candidate& candidate = pool.candidates[i];
+            const double limit = boundedLoadLimit(candidate.slots, pool.load, pool.slots, options);
+            const bool overBound = candidate.load.requests + 1 > limit;
+            if (overBound && !best.overBound) {
+                continue;
+            }
+            Scored scored = score(candidate, view.servers[candidate.index], request, hints, scale, options);
+            if (scored.cost < best.cost || best.overBound != overBound) {
+                scored.position = i;
+                scored.overBound = overBound;
+                best = scored;
+            }
+        }
+        return best;
+    }
+
 } // namespace
 
 bool mayReceive(const BackendServerView& server, std::span<const std::string> excluded)
@@ -208,7 +244,7 @@
 
 double boundedLoadLimit(double slots, double poolLoad, double poolSlots, const RoutingOptions& options)
 {
-    const double fairShare = (poolLoad + 1) * slots / std::max(poolSlots, slots);
+    const double fairShare = (poolLoad + 1) / std::max(poolSlots, slots) * slots;
     return std::max(options.loadBound * fairShare, options.comfortableUse * slots);
 }
 
@@ -224,18 +260,13 @@
     creditHomes(pool, view, request, options, now);
     const CacheHints hints = cacheHints(view, request, now);
 
-    std::optional<Scored> best;
-    for (const Candidate& candidate : pool.candidates) {
-        Scored scored = score(candidate, pool, view, request, hints, options, now);
-        const double limit = boundedLoadLimit(candidate.slots, pool.load, pool.slots, options);
-        scored.choice.overBound = candidate.load.requests + 1 > limit;
-        const bool fitsBetter = best && best->choice.overBound && !scored.choice.overBound;
-        const bool fitsWorse = best && !best->choice.overBound && scored.choice.overBound;
-        if (!best || fitsBetter || (!fitsWorse && scored.cost < best->cost)) {
-            best = scored;
-        }
-    }
-    return best->choice;
+    const Scored best = cheapest(pool, view, request, hints, options, now);
+    return RouteChoice {
+        .index = pool.candidates[best.position].index,
+        .missingTokens = static_cast<uint32_t>(best.missing),
+        .expectedFirstToken = std::chrono::ceil<std::chrono::microseconds>(Milliseconds(best.firstToken)),
+        .overBound = best.overBound,
+    };
 }
 
 } // namespace siskinspread
--- a/packages/decisions/src/RoutingPrefix.cpp
+++ b/packages/decisions/src/RoutingPrefix.cpp
@@ -87,11 +87,6 @@
     return blocks;
 }
 
-uint64_t rendezvousWeight(PrefixBlock block, uint64_t serverNameHash)
-{
-    return XXH3_64bits_withSeed(&block, sizeof block, serverNameHash);
-}
-
 void recordPrefix(PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, double work, MonotonicTime now)
 {
     if (popularity.entries.empty()) {
