--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -3,9 +3,11 @@
 #include "siskinspread/RoutingPrefix.h"
 #include "siskinspread/Time.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -82,12 +84,20 @@
     double slowTolerance { 1.4 }; /**< A server counts as slow from this multiple of the pool's median on. */
 };
 
+/** Sums over the servers that receive new work, at the last refresh of the view. */
+struct PoolTotals {
+    double load { 0 };
+    double slots { 0 };
+    double meanPrice { 0 };
+};
+
 /** All backend servers of one service as one entry host sees them. Plain data: the owner serialises access. */
 struct PoolView {
     PoolOptions options;
     uint32_t entryHosts { 1 }; /**< Live entry hosts that share this pool, at least 1. */
     std::vector<BackendServerView> servers;
     std::unordered_map<std::string, size_t> indexByName;
+    PoolTotals totals;
     PrefixPopularity popularity;
     CachedPrefixes cachedPrefixes;
 };
@@ -131,8 +141,18 @@
 /** Records the mean time between tokens of one answer or of a part of one. */
 void recordBetweenTokens(BackendServerView& server, const PoolOptions& options, std::chrono::microseconds latency, MonotonicTime now);
 
+/** @return whether new work may go to the server at all: live, reachable and not among the excluded names. */
+inline bool mayReceive(const BackendServerView& server, std::span<const std::string> excluded)
+{
+    const bool usable = server.status == BackendStatus::Live && server.reachable;
+    return usable && (excluded.empty() || std::find(excluded.begin(), excluded.end(), server.description.name) == excluded.end());
+}
+
+/** @return the sums over the servers that may receive a request with these exclusions. */
+PoolTotals sumPool(const PoolView& view, std::span<const std::string> excluded, MonotonicTime now);
+
 /**
- * Recomputes `slowness` of every server and drops changes that are too old to matter. Call it every few hundred
+ * Recomputes `slowness` of every server and `totals`, and drops changes that are too old to matter. Call it every few hundred
  * milliseconds. Thread safety: as PoolView.
  */
 void refreshPoolView(PoolView& view, MonotonicTime now);
--- a/packages/decisions/include/siskinspread/Routing.h
+++ b/packages/decisions/include/siskinspread/Routing.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds expectedBetweenTokens { 30 };
     std::chrono::milliseconds priceSpread { 20 }; /**< Latency given up for a server at half the pool's mean price. */
     uint32_t expectedOutputTokens { 200 }; /**< For estimating how long a queued request waits for a slot. */
+    size_t fullScan { 64 };
+    size_t sample { 24 }; /**< Servers drawn from a larger pool. */
     std::chrono::milliseconds fullBatchCost { 100 }; /**< Latency that a full batch costs against an empty one. */
     double unseenCredit { 0.5 }; /**< Part of a block never seen by this host that its home is credited with. */
     std::chrono::milliseconds tieSpread { 2 }; /**< Costs closer than this are ordered by the request's seed. */
@@ -53,9 +55,6 @@
     bool overBound { false }; /**< Every usable server was over its bound. */
 };
 
-/** @return whether new work may go to the server at all: live, reachable and not excluded. */
-bool mayReceive(const BackendServerView& server, std::span<const std::string> excluded);
-
 /**
  * @param slots usableSlots of the server. @param poolLoad estimated requests of all usable servers. @param poolSlots
  * their usable slots. @return the requests that the server may hold before others with room are preferred. Reentrant.
@@ -72,6 +71,10 @@
  *    bound is not chosen while another one has room.
  * 3. Of the rest the lowest weighted cost of waiting, computing the missing tokens, distance, price and deadline.
  *
+ * A pool of up to `fullScan` servers is weighed whole. Of a larger one the homes, the servers with cache hints and a
+ * sample drawn by the seed are weighed against the totals of the last refresh, and all servers only when none of those
+ * is inside its bound.
+ *
  * @param reason set to DeadlineExpired or NoBackendServer. Thread safety: as PoolView.
  */
 std::optional<RouteChoice> chooseBackendServer(const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, LastReason& reason);
--- a/packages/decisions/src/PoolView.cpp
+++ b/packages/decisions/src/PoolView.cpp
@@ -141,6 +141,23 @@
     addSample(server.betweenTokens, options, latency, now);
 }
 
+PoolTotals sumPool(const PoolView& view, std::span<const std::string> excluded, MonotonicTime now)
+{
+    PoolTotals totals;
+    double servers = 0;
+    for (const BackendServerView& server : view.servers) {
+        if (!mayReceive(server, excluded)) {
+            continue;
+        }
+        totals.load += estimateLoad(view, server, now).requests;
+        totals.slots += usableSlots(view, server, now);
+        totals.meanPrice += server.description.pricePerHour;
+        ++servers;
+    }
+    totals.meanPrice /= std::max(1.0, servers);
+    return totals;
+}
+
 void refreshPoolView(PoolView& view, MonotonicTime now)
 {
     const auto median = medianBetweenTokens(view, now);
@@ -154,6 +171,7 @@
             return now - change.at > view.options.reportLifetime;
         });
     }
+    view.totals = sumPool(view, {}, now);
 }
 
 EstimatedLoad estimateLoad(const PoolView& view, const BackendServerView& server, MonotonicTime now)
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -12,20 +12,17 @@
     constexpr double missedDeadlineCost = 1e7; // milliseconds; above any other cost
     constexpr size_t maximumHints = 8;
 
-    /** What is known about one usable server for one request. */
+    /** A server that new work may go to. */
     struct Candidate {
-        size_t index { 0 };
-        EstimatedLoad load;
-        double slots { 0 };
-        double homeTokens { 0 }; // prompt tokens expected in its cache because it is a home of their blocks
         uint64_t nameHash { 0 };
+        size_t index { 0 }; // into PoolView::servers
+        double homeTokens { 0 }; // prompt tokens expected in its cache because it is a home of their blocks
     };
 
-    struct Pool {
-        std::vector<Candidate> candidates;
-        double load { 0 };
+    struct Load {
+        EstimatedLoad estimate;
         double slots { 0 };
-        double meanPrice { 0 };
+        bool overBound { false };
     };
 
     /** A server that probably holds a beginning of the prompt, by event or by this host's own dispatch. */
@@ -41,23 +38,16 @@
 
     using Milliseconds = std::chrono::duration<double, std::milli>;
 
-    Pool usableServers(const PoolView& view, const RouteRequest& request, MonotonicTime now)
+    std::vector<Candidate> usableServers(const PoolView& view, const RouteRequest& request)
     {
-        Pool pool;
-        pool.candidates.reserve(view.servers.size());
+        std::vector<Candidate> candidates;
+        candidates.reserve(view.servers.size());
         for (size_t i = 0; i < view.servers.size(); ++i) {
-            const BackendServerView& server = view.servers[i];
-            if (!mayReceive(server, request.excluded)) {
-                continue;
+            if (mayReceive(view.servers[i], request.excluded)) {
+                candidates.push_back({ .nameHash = view.servers[i].nameHash, .index = i });
             }
-            const Candidate candidate { .index = i, .load = estimateLoad(view, server, now), .slots = usableSlots(view, server, now), .nameHash = server.nameHash };
-            pool.load += candidate.load.requests;
-            pool.slots += candidate.slots;
-            pool.meanPrice += server.description.pricePerHour;
-            pool.candidates.push_back(candidate);
         }
-        pool.meanPrice /= std::max<double>(1, static_cast<double>(pool.candidates.size()));
-        return pool;
+        return candidates;
     }
 
     /** A candidate that is a home of the prompt's beginning so far. */
@@ -67,27 +57,39 @@
     };
 
     /** Keeps the first `wanted` homes in rendezvous order of the block. */
-    void narrowHomes(std::vector<Home>& homes, size_t wanted, PrefixBlock block, const Pool& pool)
+    void narrowHomes(std::vector<Home>& homes, size_t wanted, PrefixBlock block, const std::vector<Candidate>& candidates)
     {
         for (Home& home : homes) {
-            home.weight = rendezvousWeight(block, pool.candidates[home.position].nameHash);
+            home.weight = rendezvousWeight(block, candidates[home.position].nameHash);
         }
         const auto end = homes.begin() + static_cast<std::ptrdiff_t>(wanted);
         std::nth_element(homes.begin(), end - 1, homes.end(), [](const Home& left, const Home& right) { return left.weight > right.weight; });
         homes.erase(end, homes.end());
     }
 
-    void creditEach(const std::vector<Home>& homes, double tokens, Pool& pool)
+    void creditEach(const std::vector<Home>& homes, double tokens, std::vector<Candidate>& candidates)
     {
         for (const Home& home : homes) {
-            pool.candidates[home.position].homeTokens = tokens;
+            candidates[home.position].homeTokens = tokens;
+        }
+    }
+
+    void appendPositions(const std::vector<Home>& homes, size_t most, std::vector<size_t>& positions)
+    {
+        for (size_t i = 0; i < std::min(most, homes.size()); ++i) {
+            positions.push_back(homes[i].position);
         }
     }
 
-    /** Credits each candidate with the prompt tokens that nested rendezvous places on it. */
-    void creditHomes(Pool& pool, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
+    /**
+     * Credits each candidate with the prompt tokens that nested rendezvous places on it.
+     * @return the positions of the candidates that were homes when few of them were left, the last homes at the end.
+     */
+    std::vector<size_t> creditHomes(std::vector<Candidate>& candidates, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
     {
-        std::vector<Home> homes(pool.candidates.size());
+        std::vector<Home> homes(candidates.size());
+        std::vector<size_t> positions;
+        positions.reserve(2 * options.sample);
         for (size_t i = 0; i < homes.size(); ++i) {
             homes[i].position = i;
         }
@@ -99,12 +101,14 @@
             const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
             const bool isInstructions = (i + 1) * request.tokensPerBlock <= options.instructionTokens;
             if (!isInstructions && wanted < static_cast<double>(homes.size())) {
-                creditEach(homes, credited, pool);
-                narrowHomes(homes, static_cast<size_t>(wanted), request.blocks[i], pool);
+                creditEach(homes, credited, candidates);
+                narrowHomes(homes, static_cast<size_t>(wanted), request.blocks[i], candidates);
+                appendPositions(homes, options.sample, positions);
             }
             credited += (use.seen ? 1.0 : options.unseenCredit) * request.tokensPerBlock;
         }
-        creditEach(homes, credited, pool);
+        creditEach(homes, credited, candidates);
+        return positions;
     }
 
     void addHint(CacheHints& hints, uint64_t serverNameHash, double tokens)
@@ -133,10 +137,10 @@
         return hints;
     }
 
-    double cachedTokens(const Candidate& candidate, const BackendServerView& server, const CacheHints& hints)
+    double cachedTokens(const Candidate& candidate, const CacheHints& hints)
     {
         for (size_t i = 0; i < hints.count; ++i) {
-            if (hints.hints[i].serverNameHash == server.nameHash) {
+            if (hints.hints[i].serverNameHash == candidate.nameHash) {
                 return std::max(candidate.homeTokens, hints.hints[i].tokens);
             }
         }
@@ -154,24 +158,24 @@
         double timeLeft { 0 };
     };
 
-    Scale scaleOf(const PoolView& view, const Pool& pool, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
+    Scale scaleOf(const PoolView& view, const PoolTotals& totals, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
     {
         return {
             .prefillPerToken = Milliseconds(std::chrono::seconds(1)).count() / view.options.prefillTokensPerSecond,
             .hold = Milliseconds(options.expectedBetweenTokens).count() * options.expectedOutputTokens,
             .cheapFirstToken = Milliseconds(options.firstTokenTarget).count() * options.cheapPart,
             .fullBatch = Milliseconds(options.fullBatchCost).count(),
-            .perPrice = pool.meanPrice > 0 ? Milliseconds(options.priceSpread).count() * 2 / pool.meanPrice : 0,
+            .perPrice = totals.meanPrice > 0 ? Milliseconds(options.priceSpread).count() * 2 / totals.meanPrice : 0,
             .tieUnit = Milliseconds(options.tieSpread).count() / static_cast<double>(std::numeric_limits<uint64_t>::max()),
             .timeLeft = Milliseconds(request.deadline - now).count(),
         };
     }
 
     /** Time from dispatch until the server begins to compute the prompt. */
-    double expectedWait(const Candidate& candidate, const BackendServerView& server, const Scale& scale, double use)
+    double expectedWait(const Load& load, const BackendServerView& server, const Scale& scale, double use)
     {
-        const double queue = candidate.load.queuedPromptTokens * server.slowness * scale.prefillPerToken;
-        const double slots = std::max(candidate.slots, 1.0);
+        const double queue = load.estimate.queuedPromptTokens * server.slowness * scale.prefillPerToken;
+        const double slots = std::max(load.slots, 1.0);
         const double excess = std::max(0.0, use + 1 / slots - 1);
         return queue + scale.hold * excess;
     }
@@ -184,64 +188,97 @@
     }
 
     struct Scored {
-        size_t position { 0 }; // among the candidates
-        double cost { 0 };
+        size_t index { 0 }; // into PoolView::servers
+        double cost { std::numeric_limits<double>::infinity() };
         double missing { 0 };
         double firstToken { 0 };
-        bool overBound { false };
+        bool overBound { true };
+    };
+
+    /** What is equal for all candidates of one decision. */
+    struct Decision {
+        const PoolView& view;
+        const RouteRequest& request;
+        const RoutingOptions& options;
+        MonotonicTime now;
+        PoolTotals totals;
+        CacheHints hints;
+        Scale scale;
     };
 
-    Scored score(const Candidate& candidate, const BackendServerView& server, const RouteRequest& request, const CacheHints& hints, const Scale& scale, const RoutingOptions& options)
+    Load loadOf(const Decision& decision, const BackendServerView& server)
     {
-        const double missing = std::max(0.0, request.promptTokens - cachedTokens(candidate, server, hints));
+        Load load { .estimate = estimateLoad(decision.view, server, decision.now), .slots = usableSlots(decision.view, server, decision.now) };
+        const double limit = boundedLoadLimit(load.slots, decision.totals.load, decision.totals.slots, decision.options);
+        load.overBound = load.estimate.requests + 1 > limit;
+        return load;
+    }
+
+    Scored score(const Decision& decision, const Candidate& candidate, const Load& load)
+    {
+        const BackendServerView& server = decision.view.servers[candidate.index];
+        const RoutingOptions& options = decision.options;
+        const Scale& scale = decision.scale;
+        const double missing = std::max(0.0, decision.request.promptTokens - cachedTokens(candidate, decision.hints));
         const double computing = missing * server.slowness * scale.prefillPerToken;
-        const double use = candidate.load.requests / std::max(candidate.slots, 1.0);
+        const double use = load.estimate.requests / std::max(load.slots, 1.0);
         const double roundTrip = Milliseconds(server.description.oneWayDelay).count() * 2;
-        const double firstToken = expectedWait(candidate, server, scale, use) + computing + roundTrip;
+        const double firstToken = expectedWait(load, server, scale, use) + computing + roundTrip;
         const double slowAnswer = scale.hold * (server.slowness - 1);
-        const double tie = static_cast<double>(rendezvousWeight(request.seed, server.nameHash)) * scale.tieUnit;
+        const double tie = static_cast<double>(rendezvousWeight(decision.request.seed, candidate.nameHash)) * scale.tieUnit;
         const double price = server.description.pricePerHour * scale.perPrice;
         const double latency = latencyCost(firstToken, scale, options) + slowAnswer + use * scale.fullBatch + price + tie;
         const double late = firstToken > scale.timeLeft ? missedDeadlineCost : 0;
         return {
+            .index = candidate.index,
             .cost = options.weights.latencyBoundCost * latency + options.weights.recomputedTokens * computing + late,
             .missing = missing,
             .firstToken = firstToken,
+            .overBound = load.overBound,
         };
     }
 
-    /** The cheapest candidate inside its bound, or of all when none is inside. */
-    Scored cheapest(const Pool& pool, const PoolView& view, const RouteRequest& request, const CacheHints& hints, const RoutingOptions& options, MonotonicTime now)
+    /** Replaces `best` when the candidate is inside its bound and `best` is not, or is as good there and cheaper. */
+    void consider(const Decision& decision, const Candidate& candidate, Scored& best)
     {
-        const Scale scale = scaleOf(view, pool, request, options, now);
-        Scored best { .cost = std::numeric_limits<double>::infinity(), .overBound = true };
-        for (size_t i = 0; i < pool.candidates.size(); ++i) {
-            const Candidate& candidate = pool.candidates[i];
-            const double limit = boundedLoadLimit(candidate.slots, pool.load, pool.slots, options);
-            const bool overBound = candidate.load.requests + 1 > limit;
-            if (overBound && !best.overBound) {
-                continue;
-            }
-            Scored scored = score(candidate, view.servers[candidate.index], request, hints, scale, options);
-            if (scored.cost < best.cost || best.overBound != overBound) {
-                scored.position = i;
-                scored.overBound = overBound;
-                best = scored;
+        const Load load = loadOf(decision, decision.view.servers[candidate.index]);
+        if (load.overBound && !best.overBound) {
+            return;
+        }
+        const Scored scored = score(decision, candidate, load);
+        if (scored.cost < best.cost || (best.overBound && !scored.overBound)) {
+            best = scored;
+        }
+    }
+
+    Scored cheapestOfAll(const Decision& decision, const std::vector<Candidate>& candidates)
+    {
+        Scored best;
+        for (const Candidate& candidate : candidates) {
+            consider(decision, candidate, best);
+        }
+        return best;
+    }
+
+    Scored cheapestOfSome(const Decision& decision, const std::vector<Candidate>& candidates, const std::vector<size_t>& homes)
+    {
+        Scored best;
+        for (const size_t position : homes) {
+            consider(decision, candidates[position], best);
+        }
+        for (const Candidate& candidate : candidates) {
+            if (cachedTokens(candidate, decision.hints) > candidate.homeTokens) {
+                consider(decision, candidate, best);
             }
         }
+        for (size_t i = 0; i < decision.options.sample; ++i) {
+            consider(decision, candidates[rendezvousWeight(decision.request.seed, i) % candidates.size()], best);
+        }
         return best;
     }
 
 } // namespace
 
-bool mayReceive(const BackendServerView& server, std::span<const std::string> excluded)
-{
-    if (server.status != BackendStatus::Live || !server.reachable) {
-        return false;
-    }
-    return std::find(excluded.begin(), excluded.end(), server.description.name) == excluded.end();
-}
-
 double boundedLoadLimit(double slots, double poolLoad, double poolSlots, const RoutingOptions& options)
 {
     const double fairShare = (poolLoad + 1) / std::max(poolSlots, slots) * slots;
@@ -253,16 +290,23 @@
     if (request.deadline <= now) {
         return fail(reason, ResultCode::DeadlineExpired, "the deadline has passed");
     }
-    Pool pool = usableServers(view, request, now);
-    if (pool.candidates.empty()) {
+    std::vector<Candidate> candidates = usableServers(view, request);
+    if (candidates.empty()) {
         return fail(reason, ResultCode::NoBackendServer, "no backend server may receive the request");
     }
-    creditHomes(pool, view, request, options, now);
-    const CacheHints hints = cacheHints(view, request, now);
-
-    const Scored best = cheapest(pool, view, request, hints, options, now);
+    const std::vector<size_t> homes = creditHomes(candidates, view, request, options, now);
+    const bool weighsAll = candidates.size() <= options.fullScan || view.totals.slots <= 0;
+    const PoolTotals totals = weighsAll ? sumPool(view, request.excluded, now) : view.totals;
+    const Decision decision { view, request, options, now, totals, cacheHints(view, request, now), scaleOf(view, totals, request, options, now) };
+    Scored best;
+    if (!weighsAll) {
+        best = cheapestOfSome(decision, candidates, homes);
+    }
+    if (best.overBound) {
+        best = cheapestOfAll(decision, candidates);
+    }
     return RouteChoice {
-        .index = pool.candidates[best.position].index,
+        .index = best.index,
         .missingTokens = static_cast<uint32_t>(best.missing),
         .expectedFirstToken = std::chrono::ceil<std::chrono::microseconds>(Milliseconds(best.firstToken)),
         .overBound = best.overBound,
--- a/packages/decisions/tests/RoutingTest.cpp
+++ b/packages/decisions/tests/RoutingTest.cpp
@@ -113,6 +113,35 @@
     }));
 }
 
+TEST_CASE("in a pool too large to be weighed whole the choice keeps the same rules against the totals of the last refresh")
+{
+    CHECK(rc::check([] {
+        PoolView view = poolOf(100);
+        const uint32_t busy = *rc::gen::inRange<uint32_t>(0, 101);
+        for (size_t i = 0; i < 100; ++i) {
+            view.servers[i].report->running = i < busy ? *rc::gen::inRange<uint32_t>(12, 40) : 2;
+            view.servers[i].status = i % 9 == 0 ? BackendStatus::Leaving : BackendStatus::Live;
+        }
+        refreshPoolView(view, now);
+        const auto blocks = blocksOf("a recipe" + std::to_string(*rc::gen::inRange(1000, 9000)));
+        RouteRequest request = requestFor(blocks);
+        request.seed = *rc::gen::arbitrary<uint64_t>();
+        const RoutingOptions options;
+        LastReason reason;
+        const auto choice = chooseBackendServer(view, request, options, now, reason);
+        RC_ASSERT(choice.has_value());
+        RC_ASSERT(view.servers[choice->index].status == BackendStatus::Live);
+        const Limits limits = totals(view, {});
+        const bool anyFits = std::any_of(view.servers.begin(), view.servers.end(), [&](const auto& server) { return mayReceive(server, {}) && fits(view, server, limits, options); });
+        RC_ASSERT(fits(view, view.servers[choice->index], limits, options) == anyFits);
+        RoutingOptions whole = options;
+        whole.fullScan = 100;
+        if (busy == 0) {
+            RC_ASSERT(chooseBackendServer(view, request, whole, now, reason)->index == choice->index);
+        }
+    }));
+}
+
 TEST_CASE("with one usable server the policy and every naive version choose it, and all refuse what none may take")
 {
     CHECK(rc::check([] {
