--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -97,6 +97,7 @@
     uint32_t entryHosts { 1 }; /**< Live entry hosts that share this pool, at least 1. */
     std::vector<BackendServerView> servers;
     std::unordered_map<std::string, size_t> indexByName;
+    std::unordered_map<uint64_t, size_t> indexByNameHash;
     PoolTotals totals;
     PrefixPopularity popularity;
     CachedPrefixes cachedPrefixes;
--- a/packages/decisions/src/PoolView.cpp
+++ b/packages/decisions/src/PoolView.cpp
@@ -76,6 +76,7 @@
     if (inserted) {
         view.servers.emplace_back();
         view.servers.back().nameHash = XXH3_64bits(description.name.data(), description.name.size());
+        view.indexByNameHash.emplace(view.servers.back().nameHash, position->second);
     }
     view.servers[position->second].description = description;
     return position->second;
@@ -103,8 +104,10 @@
         return server.status == BackendStatus::Gone && server.ownInFlight == 0;
     });
     view.indexByName.clear();
+    view.indexByNameHash.clear();
     for (size_t i = 0; i < view.servers.size(); ++i) {
         view.indexByName.emplace(view.servers[i].description.name, i);
+        view.indexByNameHash.emplace(view.servers[i].nameHash, i);
     }
 }
 
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -11,6 +11,7 @@
 
     constexpr double missedDeadlineCost = 1e7; // milliseconds; above any other cost
     constexpr size_t maximumHints = 8;
+    constexpr size_t fewHomesFactor = 16;
 
     /** A server that new work may go to. */
     struct Candidate {
@@ -63,7 +64,12 @@
             home.weight = rendezvousWeight(block, candidates[home.position].nameHash);
         }
         const auto end = homes.begin() + static_cast<std::ptrdiff_t>(wanted);
-        std::nth_element(homes.begin(), end - 1, homes.end(), [](const Home& left, const Home& right) { return left.weight > right.weight; });
+        const auto byWeight = [](const Home& left, const Home& right) { return left.weight > right.weight; };
+        if (wanted * fewHomesFactor < homes.size()) {
+            std::partial_sort(homes.begin(), end, homes.end(), byWeight); // one comparison for most homes
+        } else {
+            std::nth_element(homes.begin(), end - 1, homes.end(), byWeight);
+        }
         homes.erase(end, homes.end());
     }
 
@@ -260,15 +266,26 @@
         return best;
     }
 
+    /** @return the candidate that the hint names, or null when it receives no new work. */
+    const Candidate* findCandidate(const Decision& decision, const std::vector<Candidate>& candidates, const CacheHint& hint)
+    {
+        const auto known = decision.view.indexByNameHash.find(hint.serverNameHash);
+        if (known == decision.view.indexByNameHash.end()) {
+            return nullptr;
+        }
+        const auto found = std::lower_bound(candidates.begin(), candidates.end(), known->second, [](const Candidate& candidate, size_t index) { return candidate.index < index; });
+        return found != candidates.end() && found->index == known->second ? &*found : nullptr;
+    }
+
     Scored cheapestOfSome(const Decision& decision, const std::vector<Candidate>& candidates, const std::vector<size_t>& homes)
     {
         Scored best;
         for (const size_t position : homes) {
             consider(decision, candidates[position], best);
         }
-        for (const Candidate& candidate : candidates) {
-            if (cachedTokens(candidate, decision.hints) > candidate.homeTokens) {
-                consider(decision, candidate, best);
+        for (size_t i = 0; i < decision.hints.count; ++i) {
+            if (const Candidate* holder = findCandidate(decision, candidates, decision.hints.hints[i])) {
+                consider(decision, *holder, best);
             }
         }
         for (size_t i = 0; i < decision.options.sample; ++i) {
