--- a/benchmark/routing/Replay.cpp
+++ b/benchmark/routing/Replay.cpp
@@ -43,6 +43,7 @@
     : m_scenario(scenario)
     , m_trace(trace)
     , m_contestant(contestant)
+    , m_seed(seed)
     , m_random(seed)
     , m_requests(trace.requests.size())
     , m_start(m_events.now())
@@ -68,9 +69,9 @@
     return measure();
 }
 
-std::string Replay::serverName(size_t index)
+std::string Replay::serverName(size_t index) const
 {
-    return "replica-" + std::to_string(index);
+    return "replica-" + std::to_string(m_seed) + "-" + std::to_string(index);
 }
 
 void Replay::addEngines()
--- a/benchmark/routing/Replay.h
+++ b/benchmark/routing/Replay.h
@@ -51,7 +51,8 @@
     Measurement run();
 
 private:
-    static std::string serverName(size_t index);
+    /** Differs by seed, so that the placement of prefixes by their hashes does too. */
+    std::string serverName(size_t index) const;
     static bool isReclaimed(size_t index);
     void addEngines();
     void startEngine(size_t index);
@@ -91,6 +92,7 @@
     Scenario m_scenario;
     const Trace& m_trace;
     Contestant m_contestant;
+    uint64_t m_seed;
     std::mt19937_64 m_random;
     EngineOptions m_engineOptions;
     EventQueue m_events;
