--- a/packages/decisions/src/PoolView.cpp
+++ b/packages/decisions/src/PoolView.cpp
@@ -76,6 +76,7 @@
     if (inserted) {
         view.servers.emplace_back();
         view.servers.back().nameHash = XXH3_64bits(description.name.data(), description.name.size());
+        view.indexByNameHash.emplace(view.servers.back().nameHash, position->second);
     }
     view.servers[position->second].description = description;
     return position->second;
@@ -103,8 +104,10 @@
         return server.status == BackendStatus::Gone && server.ownInFlight == 0;
     });
     view.indexByName.clear();
+    view.indexByNameHash.clear();
     for (size_t i = 0; i < view.servers.size(); ++i) {
         view.indexByName.emplace(view.servers[i].description.name, i);
+        view.indexByNameHash.emplace(view.servers[i].nameHash, i);
     }
 }
 
@@ -141,6 +144,23 @@
     addSample(server.betweenTokens, options, latency, now);
 }
 
+PoolTotals sumPool(const PoolView& view, std::span<const std::string> excluded, MonotonicTime now)
+{
+    PoolTotals totals;
+    double servers = 0;
+    for (const BackendServerView& server : view.servers) {
+        if (!mayReceive(server, excluded)) {
+            continue;
+        }
+        totals.load += estimateLoad(view, server, now).requests;
+        totals.slots += usableSlots(view, server, now);
+        totals.meanPrice += server.description.pricePerHour;
+        ++servers;
+    }
+    totals.meanPrice /= std::max(1.0, servers);
+    return totals;
+}
+
 void refreshPoolView(PoolView& view, MonotonicTime now)
 {
     const auto median = medianBetweenTokens(view, now);
@@ -154,6 +174,7 @@
             return now - change.at > view.options.reportLifetime;
         });
     }
+    view.totals = sumPool(view, {}, now);
 }
 
 EstimatedLoad estimateLoad(const PoolView& view, const BackendServerView& server, MonotonicTime now)
@@ -182,7 +203,8 @@
     }
     const bool reported = server.report && server.report->slots > 0;
     const double slots = reported ? server.report->slots : server.description.defaultSlots;
-    return slots * slowStartShare(view, server, now) / server.slowness;
+    const double warm = now - server.liveSince >= view.options.slowStart ? 1.0 : slowStartShare(view, server, now);
+    return slots * warm / server.slowness;
 }
 
 } // namespace siskinspread
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -11,21 +11,19 @@
 
     constexpr double missedDeadlineCost = 1e7; // milliseconds; above any other cost
     constexpr size_t maximumHints = 8;
+    constexpr size_t fewHomesFactor = 16;
 
-    /** What is known about one usable server for one request. */
+    /** A server that new work may go to. */
     struct Candidate {
-        size_t index { 0 };
-        EstimatedLoad load;
-        double slots { 0 };
+        uint64_t nameHash { 0 };
+        size_t index { 0 }; // into PoolView::servers
         double homeTokens { 0 }; // prompt tokens expected in its cache because it is a home of their blocks
-        uint64_t rendezvous { 0 };
     };
 
-    struct Pool {
-        std::vector<Candidate> candidates;
-        double load { 0 };
+    struct Load {
+        EstimatedLoad estimate;
         double slots { 0 };
-        double meanPrice { 0 };
+        bool overBound { false };
     };
 
     /** A server that probably holds a beginning of the prompt, by event or by this host's own dispatch. */
@@ -41,61 +39,82 @@
 
     using Milliseconds = std::chrono::duration<double, std::milli>;
 
-    Pool usableServers(const PoolView& view, const RouteRequest& request, MonotonicTime now)
+    std::vector<Candidate> usableServers(const PoolView& view, const RouteRequest& request)
     {
-        Pool pool;
-        pool.candidates.reserve(view.servers.size());
+        std::vector<Candidate> candidates;
+        candidates.reserve(view.servers.size());
         for (size_t i = 0; i < view.servers.size(); ++i) {
-            const BackendServerView& server = view.servers[i];
-            if (!mayReceive(server, request.excluded)) {
-                continue;
+            if (mayReceive(view.servers[i], request.excluded)) {
+                candidates.push_back({ .nameHash = view.servers[i].nameHash, .index = i });
             }
-            const Candidate candidate { .index = i, .load = estimateLoad(view, server, now), .slots = usableSlots(view, server, now) };
-            pool.load += candidate.load.requests;
-            pool.slots += candidate.slots;
-            pool.meanPrice += server.description.pricePerHour;
-            pool.candidates.push_back(candidate);
         }
-        pool.meanPrice /= std::max<double>(1, static_cast<double>(pool.candidates.size()));
-        return pool;
+        return candidates;
     }
 
+    /** A candidate that is a home of the prompt's beginning so far. */
+    struct Home {
+        uint64_t weight { 0 };
+        size_t position { 0 }; // among the candidates
+    };
+
     /** Keeps the first `wanted` homes in rendezvous order of the block. */
-    void narrowHomes(std::vector<Candidate*>& homes, size_t wanted, PrefixBlock block, const PoolView& view)
+    void narrowHomes(std::vector<Home>& homes, size_t wanted, PrefixBlock block, const std::vector<Candidate>& candidates)
     {
-        for (Candidate* home : homes) {
-            home->rendezvous = rendezvousWeight(block, view.servers[home->index].nameHash);
+        for (Home& home : homes) {
+            home.weight = rendezvousWeight(block, candidates[home.position].nameHash);
         }
         const auto end = homes.begin() + static_cast<std::ptrdiff_t>(wanted);
-        std::nth_element(homes.begin(), end - 1, homes.end(), [](const Candidate* left, const Candidate* right) {
-            return left->rendezvous > right->rendezvous;
-        });
+        const auto byWeight = [](const Home& left, const Home& right) { return left.weight > right.weight; };
+        if (wanted * fewHomesFactor < homes.size()) {
+            std::partial_sort(homes.begin(), end, homes.end(), byWeight); // one comparison for most homes
+        } else {
+            std::nth_element(homes.begin(), end - 1, homes.end(), byWeight);
+        }
         homes.erase(end, homes.end());
     }
 
-    /** Credits each candidate with the prompt tokens that nested rendezvous places on it. */
-    void creditHomes(Pool& pool, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
+    void creditEach(const std::vector<Home>& homes, double tokens, std::vector<Candidate>& candidates)
+    {
+        for (const Home& home : homes) {
+            candidates[home.position].homeTokens = tokens;
+        }
+    }
+
+    void appendPositions(const std::vector<Home>& homes, size_t most, std::vector<size_t>& positions)
+    {
+        for (size_t i = 0; i < std::min(most, homes.size()); ++i) {
+            positions.push_back(homes[i].position);
+        }
+    }
+
+    /**
+     * Credits each candidate with the prompt tokens that nested rendezvous places on it.
+     * @return the positions of the candidates that were homes when few of them were left, the last homes at the end.
+     */
+    std::vector<size_t> creditHomes(std::vector<Candidate>& candidates, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
     {
-        std::vector<Candidate*> homes;
-        homes.reserve(pool.candidates.size());
-        for (Candidate& candidate : pool.candidates) {
-            homes.push_back(&candidate);
+        std::vector<Home> homes(candidates.size());
+        std::vector<size_t> positions;
+        positions.reserve(2 * options.sample);
+        for (size_t i = 0; i < homes.size(); ++i) {
+            homes[i].position = i;
         }
-        const double servers = static_cast<double>(pool.candidates.size());
+        const double servers = static_cast<double>(homes.size());
         const std::vector<PrefixUse> uses = prefixUses(view.popularity, request.blocks, now);
+        double credited = 0;
         for (size_t i = 0; i < request.blocks.size(); ++i) {
-            const PrefixBlock block = request.blocks[i];
             const PrefixUse& use = uses[i];
             const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
             const bool isInstructions = (i + 1) * request.tokensPerBlock <= options.instructionTokens;
             if (!isInstructions && wanted < static_cast<double>(homes.size())) {
-                narrowHomes(homes, static_cast<size_t>(wanted), block, view);
-            }
-            const double credit = use.seen ? 1.0 : options.unseenCredit;
-            for (Candidate* home : homes) {
-                home->homeTokens += credit * request.tokensPerBlock;
+                creditEach(homes, credited, candidates);
+                narrowHomes(homes, static_cast<size_t>(wanted), request.blocks[i], candidates);
+                appendPositions(homes, options.sample, positions);
             }
+            credited += (use.seen ? 1.0 : options.unseenCredit) * request.tokensPerBlock;
         }
+        creditEach(homes, credited, candidates);
+        return positions;
     }
 
     void addHint(CacheHints& hints, uint64_t serverNameHash, double tokens)
@@ -124,91 +143,162 @@
         return hints;
     }
 
-    double cachedTokens(const Candidate& candidate, const BackendServerView& server, const CacheHints& hints)
+    double cachedTokens(const Candidate& candidate, const CacheHints& hints)
     {
         for (size_t i = 0; i < hints.count; ++i) {
-            if (hints.hints[i].serverNameHash == server.nameHash) {
+            if (hints.hints[i].serverNameHash == candidate.nameHash) {
                 return std::max(candidate.homeTokens, hints.hints[i].tokens);
             }
         }
         return candidate.homeTokens;
     }
 
-    /** Time from dispatch until the server begins to compute the prompt. */
-    Milliseconds expectedWait(const Candidate& candidate, const BackendServerView& server, double prefillTokensPerSecond, const RoutingOptions& options)
-    {
-        const std::chrono::duration<double> queue { candidate.load.queuedPromptTokens * server.slowness / prefillTokensPerSecond };
-        const Milliseconds hold = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
-        const double slots = std::max(candidate.slots, 1.0);
-        const double excess = std::max(0.0, candidate.load.requests + 1 - slots);
-        return queue + hold * (excess / slots);
-    }
+    /** What is equal for all candidates of one decision, worked out once. Times are in milliseconds. */
+    struct Scale {
+        double prefillPerToken { 0 };
+        double hold { 0 }; // time that a request holds its slot
+        double cheapFirstToken { 0 };
+        double fullBatch { 0 };
+        double perPrice { 0 };
+        double tieUnit { 0 }; // per unit of a 64-bit hash
+        double timeLeft { 0 };
+    };
 
-    Milliseconds priceCost(const BackendServerView& server, const Pool& pool, const RoutingOptions& options)
+    Scale scaleOf(const PoolView& view, const PoolTotals& totals, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
     {
-        if (pool.meanPrice <= 0) {
-            return Milliseconds(0);
-        }
-        return Milliseconds(options.priceSpread) * 2.0 * (server.description.pricePerHour / pool.meanPrice);
+        return {
+            .prefillPerToken = Milliseconds(std::chrono::seconds(1)).count() / view.options.prefillTokensPerSecond,
+            .hold = Milliseconds(options.expectedBetweenTokens).count() * options.expectedOutputTokens,
+            .cheapFirstToken = Milliseconds(options.firstTokenTarget).count() * options.cheapPart,
+            .fullBatch = Milliseconds(options.fullBatchCost).count(),
+            .perPrice = totals.meanPrice > 0 ? Milliseconds(options.priceSpread).count() * 2 / totals.meanPrice : 0,
+            .tieUnit = Milliseconds(options.tieSpread).count() / static_cast<double>(std::numeric_limits<uint64_t>::max()),
+            .timeLeft = Milliseconds(request.deadline - now).count(),
+        };
     }
 
-    Milliseconds tieBreak(const BackendServerView& server, const RouteRequest& request, const RoutingOptions& options)
+    /** Time from dispatch until the server begins to compute the prompt. */
+    double expectedWait(const Load& load, const BackendServerView& server, const Scale& scale, double use)
     {
-        const double part = static_cast<double>(rendezvousWeight(request.seed, server.nameHash)) / static_cast<double>(std::numeric_limits<uint64_t>::max());
-        return Milliseconds(options.tieSpread) * part;
+        const double queue = load.estimate.queuedPromptTokens * server.slowness * scale.prefillPerToken;
+        const double slots = std::max(load.slots, 1.0);
+        const double excess = std::max(0.0, use + 1 / slots - 1);
+        return queue + scale.hold * excess;
     }
 
     /** Time far inside the target is worth little; what counts is to stay inside it. */
-    Milliseconds latencyCost(Milliseconds firstToken, const RoutingOptions& options)
+    double latencyCost(double firstToken, const Scale& scale, const RoutingOptions& options)
     {
-        const Milliseconds cheap = std::min(firstToken, Milliseconds(options.firstTokenTarget) * options.cheapPart);
+        const double cheap = std::min(firstToken, scale.cheapFirstToken);
         return cheap * options.cheapLatency + (firstToken - cheap);
     }
 
     struct Scored {
-        double cost { 0 };
-        RouteChoice choice;
+        size_t index { 0 }; // into PoolView::servers
+        double cost { std::numeric_limits<double>::infinity() };
+        double missing { 0 };
+        double firstToken { 0 };
+        bool overBound { true };
     };
 
-    Scored score(const Candidate& candidate, const Pool& pool, const PoolView& view, const RouteRequest& request, const CacheHints& hints, const RoutingOptions& options, MonotonicTime now)
+    /** What is equal for all candidates of one decision. */
+    struct Decision {
+        const PoolView& view;
+        const RouteRequest& request;
+        const RoutingOptions& options;
+        MonotonicTime now;
+        PoolTotals totals;
+        CacheHints hints;
+        Scale scale;
+    };
+
+    Load loadOf(const Decision& decision, const BackendServerView& server)
     {
-        const BackendServerView& server = view.servers[candidate.index];
-        const double missing = std::max(0.0, request.promptTokens - cachedTokens(candidate, server, hints));
-        const Milliseconds computing = std::chrono::duration<double>(missing * server.slowness / view.options.prefillTokensPerSecond);
-        const Milliseconds wait = expectedWait(candidate, server, view.options.prefillTokensPerSecond, options);
-        const Milliseconds firstToken = wait + computing + Milliseconds(server.description.oneWayDelay) * 2;
-        const Milliseconds answer = Milliseconds(options.expectedBetweenTokens) * options.expectedOutputTokens;
-        const Milliseconds slowAnswer = answer * (server.slowness - 1);
-        const Milliseconds crowding = Milliseconds(options.fullBatchCost) * (candidate.load.requests / std::max(candidate.slots, 1.0));
-        const Milliseconds latency = latencyCost(firstToken, options) + slowAnswer + crowding + priceCost(server, pool, options) + tieBreak(server, request, options);
+        Load load { .estimate = estimateLoad(decision.view, server, decision.now), .slots = usableSlots(decision.view, server, decision.now) };
+        const double limit = boundedLoadLimit(load.slots, decision.totals.load, decision.totals.slots, decision.options);
+        load.overBound = load.estimate.requests + 1 > limit;
+        return load;
+    }
 
-        double cost = options.weights.latencyBoundCost * latency.count() + options.weights.recomputedTokens * computing.count();
-        if (now + std::chrono::ceil<MonotonicTime::duration>(firstToken) > request.deadline) {
-            cost += missedDeadlineCost;
-        }
+    Scored score(const Decision& decision, const Candidate& candidate, const Load& load)
+    {
+        const BackendServerView& server = decision.view.servers[candidate.index];
+        const RoutingOptions& options = decision.options;
+        const Scale& scale = decision.scale;
+        const double missing = std::max(0.0, decision.request.promptTokens - cachedTokens(candidate, decision.hints));
+        const double computing = missing * server.slowness * scale.prefillPerToken;
+        const double use = load.estimate.requests / std::max(load.slots, 1.0);
+        const double roundTrip = Milliseconds(server.description.oneWayDelay).count() * 2;
+        const double firstToken = expectedWait(load, server, scale, use) + computing + roundTrip;
+        const double slowAnswer = scale.hold * (server.slowness - 1);
+        const double tie = static_cast<double>(rendezvousWeight(decision.request.seed, candidate.nameHash)) * scale.tieUnit;
+        const double price = server.description.pricePerHour * scale.perPrice;
+        const double latency = latencyCost(firstToken, scale, options) + slowAnswer + use * scale.fullBatch + price + tie;
+        const double late = firstToken > scale.timeLeft ? missedDeadlineCost : 0;
         return {
-            .cost = cost,
-            .choice = {
-                .index = candidate.index,
-                .missingTokens = static_cast<uint32_t>(missing),
-                .expectedFirstToken = std::chrono::ceil<std::chrono::microseconds>(firstToken),
-            },
+            .index = candidate.index,
+            .cost = options.weights.latencyBoundCost * latency + options.weights.recomputedTokens * computing + late,
+            .missing = missing,
+            .firstToken = firstToken,
+            .overBound = load.overBound,
         };
     }
 
-} // namespace
+    /** Replaces `best` when the candidate is inside its bound and `best` is not, or is as good there and cheaper. */
+    void consider(const Decision& decision, const Candidate& candidate, Scored& best)
+    {
+        const Load load = loadOf(decision, decision.view.servers[candidate.index]);
+        if (load.overBound && !best.overBound) {
+            return;
+        }
+        const Scored scored = score(decision, candidate, load);
+        if (scored.cost < best.cost || (best.overBound && !scored.overBound)) {
+            best = scored;
+        }
+    }
 
-bool mayReceive(const BackendServerView& server, std::span<const std::string> excluded)
-{
-    if (server.status != BackendStatus::Live || !server.reachable) {
-        return false;
+    Scored cheapestOfAll(const Decision& decision, const std::vector<Candidate>& candidates)
+    {
+        Scored best;
+        for (const Candidate& candidate : candidates) {
+            consider(decision, candidate, best);
+        }
+        return best;
     }
-    return std::find(excluded.begin(), excluded.end(), server.description.name) == excluded.end();
-}
+
+    /** @return the candidate that the hint names, or null when it receives no new work. */
+    const Candidate* findCandidate(const Decision& decision, const std::vector<Candidate>& candidates, const CacheHint& hint)
+    {
+        const auto known = decision.view.indexByNameHash.find(hint.serverNameHash);
+        if (known == decision.view.indexByNameHash.end()) {
+            return nullptr;
+        }
+        const auto found = std::lower_bound(candidates.begin(), candidates.end(), known->second, [](const Candidate& candidate, size_t index) { return candidate.index < index; });
+        return found != candidates.end() && found->index == known->second ? &*found : nullptr;
+    }
+
+    Scored cheapestOfSome(const Decision& decision, const std::vector<Candidate>& candidates, const std::vector<size_t>& homes)
+    {
+        Scored best;
+        for (const size_t position : homes) {
+            consider(decision, candidates[position], best);
+        }
+        for (size_t i = 0; i < decision.hints.count; ++i) {
+            if (const Candidate* holder = findCandidate(decision, candidates, decision.hints.hints[i])) {
+                consider(decision, *holder, best);
+            }
+        }
+        for (size_t i = 0; i < decision.options.sample; ++i) {
+            consider(decision, candidates[rendezvousWeight(decision.request.seed, i) % candidates.size()], best);
+        }
+        return best;
+    }
+
+} // namespace
 
 double boundedLoadLimit(double slots, double poolLoad, double poolSlots, const RoutingOptions& options)
 {
-    const double fairShare = (poolLoad + 1) * slots / std::max(poolSlots, slots);
+    const double fairShare = (poolLoad + 1) / std::max(poolSlots, slots) * slots;
     return std::max(options.loadBound * fairShare, options.comfortableUse * slots);
 }
 
@@ -217,25 +307,27 @@
     if (request.deadline <= now) {
         return fail(reason, ResultCode::DeadlineExpired, "the deadline has passed");
     }
-    Pool pool = usableServers(view, request, now);
-    if (pool.candidates.empty()) {
+    std::vector<Candidate> candidates = usableServers(view, request);
+    if (candidates.empty()) {
         return fail(reason, ResultCode::NoBackendServer, "no backend server may receive the request");
     }
-    creditHomes(pool, view, request, options, now);
-    const CacheHints hints = cacheHints(view, request, now);
-
-    std::optional<Scored> best;
-    for (const Candidate& candidate : pool.candidates) {
-        Scored scored = score(candidate, pool, view, request, hints, options, now);
-        const double limit = boundedLoadLimit(candidate.slots, pool.load, pool.slots, options);
-        scored.choice.overBound = candidate.load.requests + 1 > limit;
-        const bool fitsBetter = best && best->choice.overBound && !scored.choice.overBound;
-        const bool fitsWorse = best && !best->choice.overBound && scored.choice.overBound;
-        if (!best || fitsBetter || (!fitsWorse && scored.cost < best->cost)) {
-            best = scored;
-        }
+    const std::vector<size_t> homes = creditHomes(candidates, view, request, options, now);
+    const bool weighsAll = candidates.size() <= options.fullScan || view.totals.slots <= 0;
+    const PoolTotals totals = weighsAll ? sumPool(view, request.excluded, now) : view.totals;
+    const Decision decision { view, request, options, now, totals, cacheHints(view, request, now), scaleOf(view, totals, request, options, now) };
+    Scored best;
+    if (!weighsAll) {
+        best = cheapestOfSome(decision, candidates, homes);
+    }
+    if (best.overBound) {
+        best = cheapestOfAll(decision, candidates);
     }
-    return best->choice;
+    return RouteChoice {
+        .index = best.index,
+        .missingTokens = static_cast<uint32_t>(best.missing),
+        .expectedFirstToken = std::chrono::ceil<std::chrono::microseconds>(Milliseconds(best.firstToken)),
+        .overBound = best.overBound,
+    };
 }
 
 } // namespace siskinspread
