--- a/packages/decisions/include/siskinspread/AtMostOnce.h
+++ b/packages/decisions/include/siskinspread/AtMostOnce.h
@@ -25,8 +25,8 @@
     std::chrono::milliseconds retryAfterHistory { 600'000 }; /**< For SliceHistoryIncomplete. */
     size_t maxKeys { 1'000'000 }; /**< Open and remembered. */
     size_t maxOpenKeys { 10'000 };
-    size_t maxResponseBytes { 64 * 1024 }; /**< A larger response is passed on but not recorded. */
-    size_t maxKeptResponseBytes { 64 * 1024 * 1024 }; /**< For all remembered keys together. */
+    size_t maxResponseBytes { size_t { 64 } * 1024 }; /**< A larger response is passed on but not recorded. */
+    size_t maxKeptResponseBytes { size_t { 64 } * 1024 * 1024 }; /**< For all remembered keys together. */
 };
 
 enum class KeyPhase : uint8_t {
--- a/packages/decisions/include/siskinspread/CopyHolder.h
+++ b/packages/decisions/include/siskinspread/CopyHolder.h
@@ -9,7 +9,7 @@
 namespace siskinspread {
 
 struct CopyHolderOptions {
-    size_t maxBytes { 32 * 1024 * 1024 }; /**< For all owners together. */
+    size_t maxBytes { size_t { 32 } * 1024 * 1024 }; /**< For all owners together. */
 };
 
 /** What is held for one incarnation. */
--- a/packages/decisions/include/siskinspread/IncarnationLog.h
+++ b/packages/decisions/include/siskinspread/IncarnationLog.h
@@ -18,8 +18,8 @@
     std::chrono::milliseconds retryInterval { 500 }; /**< After an answer that was lost or a failed read. */
     std::chrono::milliseconds copyAfter { 300 }; /**< Age of an unsettled batch from which copies are sent. */
     std::chrono::milliseconds copyResend { 50 }; /**< Between two sendings of unacknowledged copies. */
-    size_t maxBatchBytes { 512 * 1024 }; /**< The store holds values up to 1 MiB. */
-    size_t maxWaitingBytes { 32 * 1024 * 1024 }; /**< New intents and `hasRoom` stop here. */
+    size_t maxBatchBytes { size_t { 512 } * 1024 }; /**< The store holds values up to 1 MiB. */
+    size_t maxWaitingBytes { size_t { 32 } * 1024 * 1024 }; /**< New intents and `hasRoom` stop here. */
 };
 
 /** An entry that the log does not have yet. */
