Refuse bad input in words instead of by closing, and survive deep nesting

Bodies deeper than 64 are now refused while they are parsed. - Messages that are no messages, and max_tokens of a wrong type, went to the engines, cost every attempt and came back as 503 may_have_run. Refused as malformed_request, not_run. - A body or header above the limit, bytes that are no HTTP and a slow sender got a closed connection, no answer and no count. RESTinio offers no hook for these, so its socket type is replaced by one that answers before it closes, and only while no request of the connection is open.

--- a/packages/daemon/include/siskinspread/CallerResponse.h
+++ b/packages/daemon/include/siskinspread/CallerResponse.h
@@ -34,6 +34,9 @@
 /** @return the JSON text that tells a caller of a refusal. Thread safety: reentrant. */
 std::string refusalJson(const std::string& requestId, const Refusal&);
 
+/** @return the whole response that tells a caller of a refusal. Thread safety: reentrant. */
+RespondWhole refusalResponse(ExchangeId, const std::string& requestId, const Refusal&);
+
 /** Answers an exchange with a refusal and counts it. Thread safety: decide thread only. */
 void sendRefusal(HostContext&, ResponseSink&, ExchangeId, const std::string& requestId, const Refusal&);
 
--- a/packages/daemon/include/siskinspread/RequestRegister.h
+++ b/packages/daemon/include/siskinspread/RequestRegister.h
@@ -4,6 +4,7 @@
 #include "siskinspread/HostContext.h"
 #include "siskinspread/LogWriter.h"
 
+#include <atomic>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,7 +22,7 @@
 public:
     RequestRegister(HostContext&, LogWriter&);
 
-    /** @return the id of a request that is refused before it is accepted. */
+    /** @return the id of a request that is refused before it is accepted. Thread safety: any thread. */
     std::string refusalId();
 
     /** Accepts a request: from here on it has exactly one account. `needsIntent`: it may not be repeated. */
@@ -45,7 +46,7 @@
     HostContext& m_context;
     LogWriter& m_log;
     uint64_t m_lastSequence { 0 };
-    uint64_t m_lastRefusal { 0 };
+    std::atomic<uint64_t> m_lastRefusal { 0 };
     std::map<RequestId, AccountEntry> m_open;
     std::map<RequestId, AccountEntry> m_recording;
 };
--- a/packages/daemon/include/siskinspread/ServerChannel.h
+++ b/packages/daemon/include/siskinspread/ServerChannel.h
@@ -27,7 +27,10 @@
     /** Called on the server's thread when the ring is full; returns the response. */
     using RingFullResponse = std::function<RespondWhole(ExchangeId)>;
 
-    ServerChannel(HttpServerOptions, size_t ringCapacity, std::function<void()> wakeDecide, RingFullResponse);
+    /** Called on the server's thread for what never became a request; returns the response. */
+    using RefusalResponse = std::function<RespondWhole(ServerRefusal)>;
+
+    ServerChannel(HttpServerOptions, size_t ringCapacity, std::function<void()> wakeDecide, RingFullResponse, RefusalResponse = {});
 
     std::optional<uint16_t> start(LastReason& reason) { return m_server.start(reason); }
     void stop() { m_server.stop(); }
--- a/packages/daemon/src/CallerResponse.cpp
+++ b/packages/daemon/src/CallerResponse.cpp
@@ -43,10 +43,9 @@
     return nlohmann::json { { "error", error } }.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void sendRefusal(HostContext& context, ResponseSink& sink, ExchangeId exchange, const std::string& requestId, const Refusal& refusal)
+RespondWhole refusalResponse(ExchangeId exchange, const std::string& requestId, const Refusal& refusal)
 {
     const ResultInfo& info = resultInfo(refusal.code);
-    context.metrics.countRefusal(refusal.code);
     RespondWhole response { .exchange = exchange, .status = info.httpStatus, .headers = {}, .body = refusalJson(requestId, refusal) };
     response.headers.push_back({ .name = "Content-Type", .value = "application/json" });
     response.headers.push_back({ .name = header::requestId, .value = requestId });
@@ -55,7 +54,13 @@
     if (const auto retryAfter = retryAfterOf(refusal)) {
         response.headers.push_back({ .name = "Retry-After", .value = retryAfterSeconds(*retryAfter) });
     }
-    sink.send(std::move(response));
+    return response;
+}
+
+void sendRefusal(HostContext& context, ResponseSink& sink, ExchangeId exchange, const std::string& requestId, const Refusal& refusal)
+{
+    context.metrics.countRefusal(refusal.code);
+    sink.send(refusalResponse(exchange, requestId, refusal));
 }
 
 } // namespace siskinspread
--- a/packages/daemon/src/CallerRoutes.cpp
+++ b/packages/daemon/src/CallerRoutes.cpp
@@ -1,5 +1,8 @@
 #include "siskinspread/CallerRoutes.h"
 
+#include "siskinspread/RequestSize.h"
+
+#include <algorithm>
 #include <charconv>
 
 namespace siskinspread {
@@ -10,6 +13,7 @@
     constexpr std::string_view accountsPath = "/accounts";
     constexpr std::string_view bearer = "Bearer ";
     constexpr std::chrono::milliseconds defaultDeadline { 600'000 };
+    constexpr std::chrono::milliseconds longestDeadline { 24 * 3600 * 1000 }; // beyond it adding to a time could overflow
     constexpr int statusOk = 200;
     constexpr int statusUnavailable = 503;
 
@@ -36,6 +40,10 @@
     if (handleHealth(request, target)) {
         return;
     }
+    if (const auto refusal = checkRequestSize(m_context.settings.limits(), request)) {
+        refuse(request.exchange, *refusal);
+        return;
+    }
     if (!m_parts.pools.hasConfiguration()) {
         refuse(request.exchange, { .code = ResultCode::NoConfiguration });
         return;
@@ -147,7 +155,7 @@
         refuse(request.exchange, { .code = ResultCode::DeadlineExpired });
         return std::nullopt;
     }
-    return std::chrono::milliseconds { left };
+    return std::min(std::chrono::milliseconds { left }, longestDeadline);
 }
 
 void CallerRoutes::refuse(ExchangeId exchange, const Refusal& refusal)
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -11,6 +11,7 @@
 #include "siskinspread/PeerAccounts.h"
 #include "siskinspread/PeerCalls.h"
 #include "siskinspread/RequestRegister.h"
+#include "siskinspread/RequestSize.h"
 #include "siskinspread/ServerChannel.h"
 #include "siskinspread/ServicePools.h"
 #include "siskinspread/Timers.h"
@@ -47,20 +48,22 @@
         return { .url = settings.object_api(), .timeout = std::chrono::milliseconds { settings.timeout_ms() } };
     }
 
-    HttpServerOptions callerOptions(const schema::Settings& settings)
+    HttpServerOptions peerOptions(const schema::Settings& settings)
     {
-        return {
-            .address = settings.listen().address(),
-            .port = static_cast<uint16_t>(settings.listen().caller_port()),
-            .maxBodyBytes = settings.limits().max_body_bytes(),
-            .maxHeaderValueBytes = settings.limits().max_header_bytes(),
-            .readTimeout = std::chrono::milliseconds { settings.limits().read_timeout_ms() },
-        };
+        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()) };
     }
 
-    HttpServerOptions peerOptions(const schema::Settings& settings)
+    ResultCode resultOf(ServerRefusal refusal)
     {
-        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()) };
+        switch (refusal) {
+        case ServerRefusal::BodyTooLarge:
+            return ResultCode::BodyTooLarge;
+        case ServerRefusal::SenderTooSlow:
+            return ResultCode::SenderTooSlow;
+        case ServerRefusal::Malformed:
+            break;
+        }
+        return ResultCode::MalformedRequest;
     }
 
     LogLevel logLevel(schema::LogSettings::Level level)
@@ -223,6 +226,14 @@
         return isClosed || m_context.now >= m_closingEnds;
     }
 
+    /** Runs on the server's thread. */
+    RespondWhole refuseUnread(ServerRefusal why)
+    {
+        const Refusal refusal { .code = resultOf(why) };
+        m_metrics.countRefusal(refusal.code);
+        return refusalResponse(0, m_requests.refusalId(), refusal);
+    }
+
     RespondWhole ringFullResponse(ExchangeId exchange)
     {
         m_metrics.countRingRefusal(Ring::CallersToDecide);
@@ -244,7 +255,7 @@
     WakeSignal m_wake;
     std::atomic<bool> m_stopRequested { false };
     const size_t m_ringCapacity { m_settings.limits().ring_capacity() };
-    ServerChannel m_callers { callerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
+    ServerChannel m_callers { callerServerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); }, [this](ServerRefusal why) { return refuseUnread(why); } };
     ServerChannel m_peerCallers { peerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
     TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers) };
     TransferRouter m_platform { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPlatform) };
--- a/packages/daemon/src/ModelRequests.cpp
+++ b/packages/daemon/src/ModelRequests.cpp
@@ -12,6 +12,7 @@
     constexpr uint32_t tokensPerBlock = 64;
     constexpr size_t maxPrefixBlocks = 64;
     constexpr std::chrono::milliseconds leastAnswerTime { 50 };
+    constexpr int maxNesting = 64;
     constexpr int statusOk = 200;
     constexpr const char* tokenIndexField = "siskinspread_token_index";
     constexpr const char* continueField = "siskinspread_continue_from";
@@ -26,11 +27,35 @@
         return prompt;
     }
 
+    /** @return the parsed body; discarded when it is not JSON or nested too deeply to be written again by recursion. */
+    nlohmann::json parseBody(const std::string& text)
+    {
+        bool isTooDeep = false;
+        const auto limitDepth = [&isTooDeep](int depth, nlohmann::json::parse_event_t, const nlohmann::json&) {
+            isTooDeep |= depth > maxNesting;
+            return depth <= maxNesting;
+        };
+        auto body = nlohmann::json::parse(text, limitDepth, false);
+        return isTooDeep ? nlohmann::json(nlohmann::json::value_t::discarded) : body;
+    }
+
+    bool isMessage(const nlohmann::json& message)
+    {
+        if (!message.is_object() || !message.contains("role") || !message["role"].is_string()) {
+            return false;
+        }
+        // Absent or null beside a tool call, and a list where a message has several parts.
+        const auto content = message.find("content");
+        return content == message.end() || content->is_null() || content->is_string() || content->is_array();
+    }
+
     bool isChatRequest(const nlohmann::json& body)
     {
         return body.is_object() && body.contains("model") && body["model"].is_string() && body.contains("messages")
             && body["messages"].is_array() && !body["messages"].empty()
-            && (!body.contains("stream") || body["stream"].is_boolean());
+            && std::all_of(body["messages"].begin(), body["messages"].end(), isMessage)
+            && (!body.contains("stream") || body["stream"].is_boolean())
+            && (!body.contains("max_tokens") || body["max_tokens"].is_null() || body["max_tokens"].is_number_unsigned());
     }
 
     /** What is known of a request that ends while an attempt may be in progress. */
@@ -56,9 +81,9 @@
 
 void ModelRequests::accept(const IncomingRequest& incoming, const std::string& customer, std::chrono::milliseconds timeLeft)
 {
-    auto body = nlohmann::json::parse(incoming.body, nullptr, false);
+    auto body = parseBody(incoming.body);
     if (!isChatRequest(body)) {
-        sendRefusal(m_context, m_context.callers, incoming.exchange, m_register.refusalId(), { .code = ResultCode::MalformedRequest, .detail = "a chat-completions request has a model, a non-empty list of messages and a boolean stream" });
+        sendRefusal(m_context, m_context.callers, incoming.exchange, m_register.refusalId(), { .code = ResultCode::MalformedRequest, .detail = "a chat-completions request has a model, a non-empty list of messages with role and content, a boolean stream and a max_tokens that counts" });
         return;
     }
     const std::string model = body["model"].get<std::string>();
--- a/packages/daemon/src/ServerChannel.cpp
+++ b/packages/daemon/src/ServerChannel.cpp
@@ -2,10 +2,10 @@
 
 namespace siskinspread {
 
-ServerChannel::ServerChannel(HttpServerOptions options, size_t ringCapacity, std::function<void()> wakeDecide, RingFullResponse ringFullResponse)
+ServerChannel::ServerChannel(HttpServerOptions options, size_t ringCapacity, std::function<void()> wakeDecide, RingFullResponse ringFullResponse, RefusalResponse refusalResponse)
     : m_events(ringCapacity, std::move(wakeDecide))
     , m_ringFullResponse(std::move(ringFullResponse))
-    , m_server(std::move(options), { .onRequest = [this](IncomingRequest&& request) { onRequest(std::move(request)); }, .onClosed = [this](ExchangeId exchange) { onClosed(exchange); } })
+    , m_server(std::move(options), { .onRequest = [this](IncomingRequest&& request) { onRequest(std::move(request)); }, .onClosed = [this](ExchangeId exchange) { onClosed(exchange); }, .refusal = std::move(refusalResponse) })
 {
 }
 
--- a/packages/transport/include/siskinspread/HttpServer.h
+++ b/packages/transport/include/siskinspread/HttpServer.h
@@ -53,7 +53,7 @@
 struct HttpServerOptions {
     std::string address { "127.0.0.1" };
     uint16_t port { 0 }; /**< 0 takes a free port. */
-    size_t maxBodyBytes { 1U << 20 }; /**< Beyond it the connection is closed while the body arrives. */
+    size_t maxBodyBytes { 1U << 20 }; /**< Beyond it the request is refused while its body arrives. */
     size_t maxHeaderValueBytes { 8192 };
     size_t maxHeaderCount { 64 };
     std::chrono::milliseconds readTimeout { 60000 }; /**< Longest time for a request to arrive; idle time included. */
@@ -62,9 +62,21 @@
     size_t commandCapacity { 16384 };
 };
 
+/** Why the server itself refuses bytes that never became a request. */
+enum class ServerRefusal : uint8_t {
+    Malformed, /**< Not HTTP, or its head is larger than the limits. */
+    BodyTooLarge,
+    SenderTooSlow, /**< The request did not arrive within the read timeout. */
+};
+
 struct HttpServerHandlers {
     std::function<void(IncomingRequest&&)> onRequest; /**< On the server's thread; must not block. */
     std::function<void(ExchangeId)> onClosed; /**< The connection of an unfinished exchange has closed. */
+    /**
+     * On the server's thread: makes the response that is sent, as far as the connection takes it, before it is closed.
+     * Empty: closes without a response.
+     */
+    std::function<RespondWhole(ServerRefusal)> refusal {};
 };
 
 /**
--- a/packages/transport/src/HttpServer.cpp
+++ b/packages/transport/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "siskinspread/HttpServer.h"
 
+#include "RefusingSocket.h"
 #include "siskinspread/BoundedRing.h"
 
 #include <restinio/all.hpp>
@@ -23,6 +24,7 @@
 
     struct ServerTraits : public restinio::default_single_thread_traits_t {
         using connection_state_listener_t = ConnectionListener;
+        using stream_socket_t = RefusingSocket;
         using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
     };
 
@@ -50,9 +52,22 @@
         restinio::request_handle_t request;
         restinio::connection_id_t connection { 0 };
         std::unique_ptr<ChunkedResponse> stream;
+        std::shared_ptr<ConnectionProgress> open; // counts as an open exchange of its connection until released
         std::shared_ptr<size_t> unwrittenBytes = std::make_shared<size_t>(0);
     };
 
+    /** @return a token that counts the request just handled as open until its last copy goes. */
+    std::shared_ptr<ConnectionProgress> openExchange()
+    {
+        const auto progress = RefusingSocket::handled();
+        if (!progress) {
+            return nullptr;
+        }
+        progress->beginNextRequest();
+        ++progress->openExchanges;
+        return { progress.get(), [progress](ConnectionProgress* counted) { --counted->openExchanges; } };
+    }
+
     template <typename Builder>
     void appendHeaders(Builder& builder, const HttpHeaders& headers)
     {
@@ -75,6 +90,9 @@
         , m_handlers(std::move(handlers))
         , m_commands(m_options.commandCapacity, [this] { wake(); })
     {
+        auto& refusals = restinio::asio_ns::use_service<RefusalSource>(*m_context);
+        refusals.maxBodyBytes = m_options.maxBodyBytes;
+        refusals.make = m_handlers.refusal;
     }
 
     std::optional<uint16_t> start(LastReason& reason)
@@ -125,7 +143,7 @@
         auto response = entry->second.request->create_response(statusLine(command.status));
         appendHeaders(response, command.headers);
         response.set_body(std::move(command.body));
-        response.done();
+        response.done([open = entry->second.open](const auto&) {});
         forget(entry);
     }
 
@@ -161,6 +179,7 @@
         Exchange exchange;
         exchange.connection = request->connection_id();
         exchange.request = std::move(request);
+        exchange.open = openExchange();
         m_byConnection.emplace(exchange.connection, id);
         m_exchanges.emplace(id, std::move(exchange));
         m_handlers.onRequest(std::move(incoming));
@@ -226,7 +245,7 @@
         if (entry == m_exchanges.end() || !entry->second.stream) {
             return;
         }
-        entry->second.stream->done();
+        entry->second.stream->done([open = entry->second.open](const auto&) {});
         forget(entry);
     }
 
@@ -248,6 +267,9 @@
     void abandon(ExchangeIterator entry)
     {
         const ExchangeId id = entry->first;
+        if (entry->second.open) {
+            entry->second.open->mayNotRefuse = true;
+        }
         forget(entry);
         m_handlers.onClosed(id);
     }
