--- /dev/null
+++ b/tests/process/AtMostOnceTest.cpp
@@ -0,0 +1,237 @@
+// Requests that may not be repeated, at real hosts that are killed, paused and cut off from the store.
+
+#include "support/Deployment.h"
+#include "support/Eventually.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <future>
+
+namespace siskinspread::testing {
+
+namespace {
+
+    const DeploymentOptions twoDomains { .failureDomains = 2, .hostsPerFailureDomain = 2, .engines = 0, .ledgers = 1 };
+
+    HttpResponse hold(const Deployment& deployment, size_t host, const std::string& key, const std::string& body = R"({"item":"dolly"})")
+    {
+        return httpCall({ .method = "POST",
+            .url = deployment.host(host).url("/ledger/holds"),
+            .headers = { Deployment::authorization(), "Idempotency-Key: " + key, "X-Deadline-Ms: 10000" },
+            .body = body });
+    }
+
+    nlohmann::json errorOf(const HttpResponse& response)
+    {
+        return nlohmann::json::parse(response.body).at("error");
+    }
+
+    /** Sends until the key has an owner, which it may lack for a moment after the start or a death. */
+    HttpResponse holdWhenOwned(const Deployment& deployment, size_t host, const std::string& key)
+    {
+        HttpResponse response;
+        eventually("an owner of " + key, [&] {
+            response = hold(deployment, host, key);
+            const std::string code = response.header("x-result-code");
+            return response.status != 0 && code != "300" && code != "301" && code != "305";
+        });
+        return response;
+    }
+
+    int runs(Deployment& deployment, const std::string& key)
+    {
+        const auto counters = nlohmann::json::parse(httpCall({ .url = deployment.ledger(0).url("/control/runs") }).body);
+        return counters.value(key, 0);
+    }
+
+    /** @return the index of the host that owns the key, as its account says. */
+    size_t ownerOf(const Deployment& deployment, size_t asked, const std::string& key)
+    {
+        size_t owner = deployment.hostCount();
+        eventually("an account of " + key, [&] {
+            const auto response = httpCall({ .url = deployment.host(asked).url("/accounts?key=" + key), .headers = { Deployment::authorization() } });
+            if (response.status != 200) {
+                return false;
+            }
+            const auto recordedBy = nlohmann::json::parse(response.body).value("recorded_by", "");
+            for (size_t i = 0; i < deployment.hostCount(); ++i) {
+                if (recordedBy.starts_with(deployment.host(i).name + ".")) {
+                    owner = i;
+                }
+            }
+            return owner < deployment.hostCount();
+        });
+        return owner;
+    }
+
+    /** Sends a hold that the ledger delays, waits until the ledger has it, and names its owner. */
+    struct HoldInFlight {
+        Deployment& deployment;
+        std::string key;
+        std::future<HttpResponse> response;
+        size_t owner { 0 };
+
+        HoldInFlight(Deployment& system, size_t host, std::string idempotencyKey)
+            : deployment(system)
+            , key(std::move(idempotencyKey))
+        {
+            holdWhenOwned(deployment, host, "warm-" + key); // the slices have owners from here on
+            deployment.ledger(0).setFaults(R"({"delay_ms":1500})");
+            response = std::async(std::launch::async, [this, host] { return holdWhenOwned(deployment, host, key); });
+            owner = ownerOf(deployment, host, key);
+        }
+    };
+
+} // namespace
+
+TEST_CASE("the same key at two hosts at the same moment runs once and both get the same answer or word of the other")
+{
+    Deployment deployment { twoDomains };
+    holdWhenOwned(deployment, 0, "warm");
+    auto first = std::async(std::launch::async, [&] { return holdWhenOwned(deployment, 0, "hold-1"); });
+    auto second = std::async(std::launch::async, [&] { return holdWhenOwned(deployment, 3, "hold-1"); });
+    for (const HttpResponse& response : { first.get(), second.get() }) {
+        const bool isAnswered = response.status == 200;
+        const bool isInProgress = response.status == 409 && errorOf(response).at("name") == "key_in_progress";
+        CAPTURE(response.body);
+        CHECK((isAnswered || isInProgress));
+    }
+    const HttpResponse later = hold(deployment, 2, "hold-1");
+    CHECK(later.status == 200);
+    CHECK(later.header("x-replay-of") != "");
+    CHECK(runs(deployment, "hold-1") == 1);
+}
+
+TEST_CASE("the same key with another body is refused as such and does not run")
+{
+    Deployment deployment { twoDomains };
+    CHECK(holdWhenOwned(deployment, 0, "hold-2").status == 200);
+    const HttpResponse other = hold(deployment, 1, "hold-2", R"({"item":"lamp"})");
+    CHECK(other.status == 422);
+    CHECK(errorOf(other).at("name") == "idempotency_key_reused");
+    CHECK(errorOf(other).at("run_state") == "not_run");
+    CHECK(runs(deployment, "hold-2") == 1);
+}
+
+TEST_CASE("a missing key is refused, and a call that may be repeated needs none")
+{
+    Deployment deployment { twoDomains };
+    const HttpResponse missing = httpCall({ .method = "POST", .url = deployment.host(0).url("/ledger/holds"), .headers = { Deployment::authorization() }, .body = "{}" });
+    CHECK(missing.status == 400);
+    CHECK(errorOf(missing).at("name") == "idempotency_key_required");
+    const HttpResponse stock = httpCall({ .url = deployment.host(0).url("/ledger/stock/dolly"), .headers = { Deployment::authorization() } });
+    CHECK(stock.status == 200);
+}
+
+TEST_CASE("a ledger that ran the call and lost the answer: may have run, and never runs again")
+{
+    Deployment deployment { twoDomains };
+    holdWhenOwned(deployment, 0, "warm");
+    deployment.ledger(0).setFaults(R"({"run_then_close":1})");
+    const HttpResponse first = holdWhenOwned(deployment, 0, "hold-3");
+    CHECK(first.status == 502);
+    CHECK(errorOf(first).at("run_state") == "may_have_run");
+    const HttpResponse second = hold(deployment, 3, "hold-3");
+    CHECK(errorOf(second).at("run_state") == "may_have_run");
+    CHECK(runs(deployment, "hold-3") == 1);
+}
+
+TEST_CASE("a ledger that refuses without running is told as not run, and the key may be used again")
+{
+    Deployment deployment { twoDomains };
+    holdWhenOwned(deployment, 0, "warm");
+    deployment.ledger(0).setFaults(R"({"refuse":true})");
+    const HttpResponse refused = hold(deployment, 0, "hold-4");
+    CHECK(refused.status == 503);
+    CHECK(errorOf(refused).at("run_state") == "not_run");
+    CHECK(refused.header("retry-after") != "");
+    CHECK(runs(deployment, "hold-4") == 0);
+    deployment.ledger(0).setFaults(R"({"refuse":false})");
+    CHECK(holdWhenOwned(deployment, 3, "hold-4").status == 200);
+    CHECK(runs(deployment, "hold-4") == 1);
+}
+
+TEST_CASE("the owner is killed while the call runs: the second try does not run it, and its account says may have run")
+{
+    Deployment deployment { twoDomains };
+    HoldInFlight inFlight { deployment, 0, "hold-5" };
+    eventually("the call has reached the ledger", [&] { return httpCall({ .url = deployment.ledger(0).url("/record/hold-5") }).status != 0; });
+    const size_t witness = (inFlight.owner + 1) % deployment.hostCount();
+    deployment.host(inFlight.owner).process->kill();
+    inFlight.response.wait();
+    deployment.ledger(0).setFaults(R"({"delay_ms":0})");
+    const HttpResponse second = holdWhenOwned(deployment, witness, "hold-5");
+    CAPTURE(second.body);
+    CHECK(second.status == 502);
+    CHECK(errorOf(second).at("name") == "outcome_unknown");
+    CHECK(errorOf(second).at("run_state") == "may_have_run");
+    CHECK(runs(deployment, "hold-5") <= 1);
+    const HttpResponse other = holdWhenOwned(deployment, witness, "hold-6");
+    CHECK(other.status == 200);
+    CHECK(runs(deployment, "hold-6") == 1);
+}
+
+TEST_CASE("the owner is paused past its replacement and wakes up: nothing runs twice, and it steps down")
+{
+    Deployment deployment { twoDomains };
+    CHECK(holdWhenOwned(deployment, 0, "hold-7").status == 200);
+    const size_t owner = ownerOf(deployment, 0, "hold-7");
+    const size_t witness = (owner + 1) % deployment.hostCount();
+    ChildProcess& paused = *deployment.host(owner).process;
+    paused.sendSignal(SIGSTOP);
+    const HttpResponse replay = holdWhenOwned(deployment, witness, "hold-7"); // another host has closed the log and taken over
+    CHECK(replay.status == 200);
+    CHECK(replay.header("x-replay-of") != "");
+    paused.sendSignal(SIGCONT);
+    const HttpResponse fresh = hold(deployment, owner, "hold-8");
+    const HttpResponse again = holdWhenOwned(deployment, witness, "hold-8");
+    CAPTURE(fresh.body);
+    CAPTURE(again.body);
+    CHECK(again.status == 200);
+    CHECK(runs(deployment, "hold-7") == 1);
+    CHECK(runs(deployment, "hold-8") == 1);
+}
+
+TEST_CASE("the store is away: a hold runs once, recorded at a second host, and the account is final when the store is back")
+{
+    Deployment deployment { twoDomains };
+    holdWhenOwned(deployment, 0, "hold-9");
+    const size_t owner = ownerOf(deployment, 0, "hold-9");
+    deployment.objectApi().setFaults(R"({"down":true})");
+    const HttpResponse during = hold(deployment, (owner + 2) % deployment.hostCount(), "hold-9b");
+    CAPTURE(during.body);
+    CHECK((during.status == 200 || errorOf(during).at("run_state") == "not_run"));
+    CHECK(runs(deployment, "hold-9b") == (during.status == 200 ? 1 : 0));
+    const HttpResponse replay = hold(deployment, owner, "hold-9");
+    CHECK(replay.status == 200);
+    deployment.objectApi().setFaults(R"({"down":false})");
+    CHECK(holdWhenOwned(deployment, owner, "hold-9b").status == 200);
+    CHECK(runs(deployment, "hold-9b") == 1);
+}
+
+TEST_CASE("a store write whose answer is lost: the hold runs once and is answered")
+{
+    Deployment deployment { twoDomains };
+    holdWhenOwned(deployment, 0, "warm");
+    deployment.objectApi().setFaults(R"({"lose_next_write_answers":2})");
+    CHECK(holdWhenOwned(deployment, 1, "hold-10").status == 200);
+    CHECK(runs(deployment, "hold-10") == 1);
+}
+
+TEST_CASE("a planned stop of the owner cuts off no hold in progress, and its slices move at once")
+{
+    Deployment deployment { twoDomains };
+    HoldInFlight inFlight { deployment, 0, "hold-11" };
+    deployment.host(inFlight.owner).process->sendSignal(SIGTERM);
+    const HttpResponse response = inFlight.response.get();
+    CAPTURE(response.body);
+    CHECK(response.status == 200);
+    CHECK(deployment.host(inFlight.owner).process->waitForEnd()->exitCode == 0);
+    deployment.ledger(0).setFaults(R"({"delay_ms":0})");
+    const HttpResponse replay = holdWhenOwned(deployment, (inFlight.owner + 1) % deployment.hostCount(), "hold-11");
+    CHECK(replay.status == 200);
+    CHECK(runs(deployment, "hold-11") == 1);
+}
+
+} // namespace siskinspread::testing
