Spread the configuration and the membership between entry hosts

Cause: each host waited on the store for itself, knew no other host, and a host that started while the store was away had no configuration. Change: ConfigurationFeedAdapter joins the feed decision to the store (ConfigurationWatch makes one call at a time) and to the peers (JSON-RPC advert, ask_revision, configuration). Ruled out: the list of live members as the feed's members from the start; a starting host could then miss the peer that knows what its former process had in force.

--- a/packages/ctl/include/siskinspread/CommandLine.h
+++ b/packages/ctl/include/siskinspread/CommandLine.h
@@ -36,7 +36,7 @@
     CommonArguments common;
     std::vector<std::string> serviceFiles; /**< As for check. */
     std::string objectApi; /**< http://IP:port. */
-    std::vector<std::string> entryHosts; /**< http://IP:port of the callers' ports; needed for `wait`. */
+    std::vector<std::string> entryHosts; /**< http://IP:port of the peer ports; needed for `wait`. */
     bool wait { false }; /**< Wait until every live host has the revision in force. */
     std::chrono::seconds waitTimeout { 0 };
 };
--- a/packages/ctl/include/siskinspread/OperatorReports.h
+++ b/packages/ctl/include/siskinspread/OperatorReports.h
@@ -57,6 +57,12 @@
     std::vector<BackendServerStatus> backendServers {};
 };
 
+/**
+ * @return how many hosts that one of the answers calls live have the revision, or a later one, in force. A host that is
+ * only suspected counts as live. Thread safety: reentrant.
+ */
+RevisionSpread revisionSpread(const std::vector<SystemStatus>& answers, uint64_t revision);
+
 /** A drain that was ordered. */
 struct DrainReport {
     std::string name {};
--- a/packages/ctl/src/NetworkOperatorApi.cpp
+++ b/packages/ctl/src/NetworkOperatorApi.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <memory>
+#include <thread>
 
 namespace siskinspread {
 
@@ -15,6 +16,7 @@
 
     constexpr int statusOk = 200;
     constexpr int statusNotFound = 404;
+    constexpr std::chrono::milliseconds statusInterval { 500 };
 
     std::string escape(const std::string& text)
     {
@@ -52,6 +54,47 @@
         return document;
     }
 
+    SystemStatus statusOf(const nlohmann::json& document)
+    {
+        SystemStatus status;
+        status.observer = document.value("observer", "");
+        status.configurationRevision = document.value("configuration_revision", uint64_t { 0 });
+        for (const auto& host : document.value("entry_hosts", nlohmann::json::array())) {
+            status.entryHosts.push_back({ .name = host.value("name", ""), .failureDomain = host.value("failure_domain", ""), .incarnation = host.value("incarnation", ""), .state = host.value("state", ""), .configurationRevision = host.value("configuration_revision", uint64_t { 0 }), .openRequests = host.value("open_requests", 0U) });
+        }
+        for (const auto& server : document.value("backend_servers", nlohmann::json::array())) {
+            status.backendServers.push_back({ .name = server.value("name", ""), .pool = server.value("pool", ""), .failureDomain = server.value("failure_domain", ""), .state = server.value("state", ""), .openRequests = server.value("open_requests", 0U) });
+        }
+        return status;
+    }
+
+    std::optional<SystemStatus> askForStatus(const std::vector<std::string>& entryHosts, std::chrono::milliseconds timeout, LastReason& reason)
+    {
+        const auto document = askForJson(entryHosts, "/operator/status", timeout, reason);
+        return document ? std::optional { statusOf(*document) } : std::nullopt;
+    }
+
+    /** Asks each entry host until all live ones have the revision or the time is over. */
+    RevisionSpread waitForSpread(const PublishArguments& arguments, uint64_t revision)
+    {
+        const auto end = std::chrono::steady_clock::now() + arguments.waitTimeout;
+        while (true) {
+            std::vector<SystemStatus> answers;
+            for (const std::string& host : arguments.entryHosts) {
+                LastReason ignored;
+                if (auto answer = askForStatus({ host }, arguments.common.timeout, ignored)) {
+                    answers.push_back(std::move(*answer));
+                }
+            }
+            const RevisionSpread spread = revisionSpread(answers, revision);
+            const bool everywhere = spread.liveHosts && spread.inForce == spread.liveHosts;
+            if (everywhere || std::chrono::steady_clock::now() + statusInterval >= end) {
+                return spread;
+            }
+            std::this_thread::sleep_for(statusInterval);
+        }
+    }
+
     /** @return the path that names the request of an account query. */
     std::string accountPath(const AccountArguments& arguments)
     {
@@ -73,25 +116,16 @@
 {
     const PublisherOptions options { .store = { .url = arguments.objectApi, .timeout = arguments.common.timeout }, .plan = {} };
     const PublishRequest request { .publishId = m_drawPublishId(), .publisher = m_publisher, .files = contentOf(documents) };
-    return publishConfiguration(performTransfer, options, request, reason);
+    auto report = publishConfiguration(performTransfer, options, request, reason);
+    if (report && arguments.wait) {
+        report->spread = waitForSpread(arguments, report->revision);
+    }
+    return report;
 }
 
 std::optional<SystemStatus> NetworkOperatorApi::status(const StatusArguments& arguments, LastReason& reason)
 {
-    const auto document = askForJson(arguments.entryHosts, "/operator/status", arguments.common.timeout, reason);
-    if (!document) {
-        return std::nullopt;
-    }
-    SystemStatus status;
-    status.observer = document->value("observer", "");
-    status.configurationRevision = document->value("configuration_revision", uint64_t { 0 });
-    for (const auto& host : document->value("entry_hosts", nlohmann::json::array())) {
-        status.entryHosts.push_back({ .name = host.value("name", ""), .failureDomain = host.value("failure_domain", ""), .incarnation = host.value("incarnation", ""), .state = host.value("state", ""), .configurationRevision = host.value("configuration_revision", uint64_t { 0 }), .openRequests = host.value("open_requests", 0U) });
-    }
-    for (const auto& server : document->value("backend_servers", nlohmann::json::array())) {
-        status.backendServers.push_back({ .name = server.value("name", ""), .pool = server.value("pool", ""), .failureDomain = server.value("failure_domain", ""), .state = server.value("state", ""), .openRequests = server.value("open_requests", 0U) });
-    }
-    return status;
+    return askForStatus(arguments.entryHosts, arguments.common.timeout, reason);
 }
 
 std::optional<AccountAnswer> NetworkOperatorApi::account(const AccountArguments& arguments, LastReason& reason)
--- a/packages/ctl/src/PresentJson.cpp
+++ b/packages/ctl/src/PresentJson.cpp
@@ -99,9 +99,12 @@
 
 std::string presentJson(const SystemStatus& status)
 {
+    const RevisionSpread spread = revisionSpread({ status }, status.configurationRevision);
     return asLine({
         { "observer", status.observer },
         { "configuration_revision", status.configurationRevision },
+        { "hosts_in_force", spread.inForce },
+        { "live_hosts", spread.liveHosts },
         { "entry_hosts", asList(status.entryHosts) },
         { "backend_servers", asList(status.backendServers) },
     });
--- a/packages/ctl/src/PresentText.cpp
+++ b/packages/ctl/src/PresentText.cpp
@@ -86,6 +86,8 @@
 std::string presentText(const SystemStatus& status)
 {
     std::string text = line("seen by", status.observer) + line("configuration", fmt::format("revision {}", status.configurationRevision));
+    const RevisionSpread spread = revisionSpread({ status }, status.configurationRevision);
+    text += line("in force", fmt::format("on {} of {}", spread.inForce, plural(spread.liveHosts, "live host")));
     text += fmt::format("\n{:<20} {:<16} {:<10} {:>8} {:>6}  {}\n", "entry host", "failure domain", "state", "revision", "open", "incarnation");
     for (const EntryHostStatus& host : status.entryHosts) {
         text += fmt::format("{:<20} {:<16} {:<10} {:>8} {:>6}  {}\n", host.name, host.failureDomain, host.state, host.configurationRevision, host.openRequests, host.incarnation);
--- a/packages/ctl/src/RunCommand.cpp
+++ b/packages/ctl/src/RunCommand.cpp
@@ -48,7 +48,7 @@
                 return showError(reason, arguments.common);
             }
             show(*report, arguments.common);
-            const bool everywhere = report->spread && report->spread->inForce >= report->spread->liveHosts;
+            const bool everywhere = report->spread && report->spread->liveHosts && report->spread->inForce >= report->spread->liveHosts;
             return !arguments.wait || everywhere ? ExitCode::Success : ExitCode::NotYet;
         }
 
--- a/packages/daemon/include/siskinspread/ConfigurationWatch.h
+++ b/packages/daemon/include/siskinspread/ConfigurationWatch.h
@@ -1,38 +1,35 @@
 #pragma once
 
+#include "siskinspread/ConfigurationFeed.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/ObjectApi.h"
-#include "siskinspread/Timers.h"
-
-#include "service.pb.h"
 
 #include <functional>
-#include <optional>
 #include <string>
-#include <string_view>
 
 namespace siskinspread {
 
+/** @return the stored bytes as the feed takes them, decoded and checked. Thread safety: reentrant. */
+ConfigurationDocument configurationDocument(std::string body);
+
 /**
- * Waits on the object "configuration" and passes on each content that it has. Thread safety: decide thread only.
+ * Reads the object "configuration" and waits on it, one call at a time. Each call ends in one event: StoreAnswered,
+ * StoreUnchanged or StoreCallFailed. Thread safety: decide thread only.
  */
 class ConfigurationWatch {
 public:
-    ConfigurationWatch(HostContext&, Timers&, ObjectApiOptions, std::function<void(const std::string& content)> onContent);
+    ConfigurationWatch(HostContext&, ObjectApiOptions, std::function<void(const FeedEvent&)> onEvent);
 
-    /** Begins to wait; again and again from then on. */
-    void start();
+    /** Begins a call; its event never comes before this returns. */
+    void start(const WatchStore&);
 
 private:
     void onAnswer(const TransferEnded&);
-    void waitAndStart(std::chrono::milliseconds);
 
     HostContext& m_context;
-    Timers& m_timers;
     const ObjectApiOptions m_store;
-    const std::function<void(const std::string&)> m_onContent;
-    uint64_t m_version { 0 };
-    uint32_t m_failures { 0 };
+    const std::function<void(const FeedEvent&)> m_onEvent;
+    uint64_t m_version { 0 }; /**< Of the object as it was last answered here. */
 };
 
 } // namespace siskinspread
--- a/packages/daemon/include/siskinspread/OperatorRoutes.h
+++ b/packages/daemon/include/siskinspread/OperatorRoutes.h
@@ -4,6 +4,7 @@
 #include "siskinspread/HostContext.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServicePools.h"
+#include "siskinspread/SystemView.h"
 
 #include <functional>
 #include <string>
@@ -21,6 +22,7 @@
         RequestRegister& requests;
         AccountLookups& accounts;
         std::function<std::vector<IncarnationId>(const IdempotencyKey&)> ownersOfKey; /**< Newest first. */
+        const SystemView& system;
     };
 
     OperatorRoutes(HostContext&, Parts);
@@ -31,7 +33,7 @@
 private:
     void handleAccount(const IncomingRequest&);
     void lookUp(const IncomingRequest&, const AccountQuery&, std::vector<IncarnationId> candidates);
-    std::string statusJson() const;
+    std::string statusJson(const std::vector<EntryHostView>&) const;
     void send(ExchangeId, int status, const char* contentType, std::string body);
 
     HostContext& m_context;
--- a/packages/daemon/src/ConfigurationWatch.cpp
+++ b/packages/daemon/src/ConfigurationWatch.cpp
@@ -1,54 +1,74 @@
 #include "siskinspread/ConfigurationWatch.h"
 
 #include "siskinspread/ConfigurationCodec.h"
-#include "siskinspread/RetryBudget.h"
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
 
 namespace siskinspread {
 
 namespace {
 
-    constexpr RetryDelayOptions watchRetry { .first = std::chrono::milliseconds { 200 }, .longest = std::chrono::milliseconds { 5000 } };
+    /** @return the revision that a text names even if it is no valid configuration, or zero. */
+    uint64_t namedRevision(const std::string& body)
+    {
+        const auto document = nlohmann::json::parse(body, nullptr, false);
+        const auto revision = document.is_object() ? document.find("revision") : document.end();
+        if (revision == document.end()) {
+            return 0;
+        }
+        const std::string text = revision->is_string() ? revision->get<std::string>() : revision->dump();
+        uint64_t number = 0;
+        std::from_chars(text.data(), text.data() + text.size(), number);
+        return number;
+    }
 
 } // namespace
 
-ConfigurationWatch::ConfigurationWatch(HostContext& context, Timers& timers, ObjectApiOptions store, std::function<void(const std::string&)> onContent)
+ConfigurationDocument configurationDocument(std::string body)
+{
+    LastReason reason;
+    const auto configuration = decodeConfiguration(body, reason);
+    if (configuration) {
+        return { .revision = configuration->revision(), .body = std::move(body), .problem = {} };
+    }
+    const uint64_t revision = namedRevision(body);
+    return { .revision = revision, .body = {}, .problem = reason.detail.empty() ? "it can't be decoded" : reason.detail };
+}
+
+ConfigurationWatch::ConfigurationWatch(HostContext& context, ObjectApiOptions store, std::function<void(const FeedEvent&)> onEvent)
     : m_context(context)
-    , m_timers(timers)
     , m_store(std::move(store))
-    , m_onContent(std::move(onContent))
+    , m_onEvent(std::move(onEvent))
 {
 }
 
-void ConfigurationWatch::start()
+void ConfigurationWatch::start(const WatchStore& call)
 {
-    m_context.platform.start(watchObject(m_store, configurationObject, m_version), [this](const ClientEvent& event) { onAnswer(std::get<TransferEnded>(event)); });
+    ObjectApiOptions options = m_store;
+    options.watchTimeout = call.waitTime;
+    const bool readNow = call.waitTime <= std::chrono::milliseconds { 0 };
+    m_context.platform.start(readNow ? readObject(options, configurationObject) : watchObject(options, configurationObject, m_version),
+        [this](const ClientEvent& event) { onAnswer(std::get<TransferEnded>(event)); });
 }
 
 void ConfigurationWatch::onAnswer(const TransferEnded& ended)
 {
     const StoreResult result = storeResult(ended, false);
+    const bool answered = result == StoreResult::Done || result == StoreResult::Unchanged || result == StoreResult::Absent;
+    m_context.metrics.countStoreCall(StorePurpose::Watch, answered ? StoreOutcome::Answered : StoreOutcome::Unavailable);
     if (result == StoreResult::Done) {
-        m_failures = 0;
         m_version = storedVersion(ended);
-        m_context.metrics.countStoreCall(StorePurpose::Watch, StoreOutcome::Answered);
-        m_onContent(ended.body);
-        start();
-        return;
-    }
-    if (result == StoreResult::Unchanged) {
-        m_failures = 0;
-        m_context.metrics.countStoreCall(StorePurpose::Watch, StoreOutcome::Answered);
-        start();
-        return;
+        m_onEvent(StoreAnswered { .document = configurationDocument(ended.body) });
+    } else if (result == StoreResult::Absent) {
+        m_version = 0;
+        m_onEvent(StoreAnswered {});
+    } else if (result == StoreResult::Unchanged) {
+        m_onEvent(StoreUnchanged {});
+    } else {
+        m_onEvent(StoreCallFailed {});
     }
-    m_context.metrics.countStoreCall(StorePurpose::Watch, StoreOutcome::Unavailable);
-    ++m_failures;
-    waitAndStart(retryDelay(watchRetry, m_failures, nextSeed(m_context)) + watchRetry.first);
-}
-
-void ConfigurationWatch::waitAndStart(std::chrono::milliseconds wait)
-{
-    m_timers.schedule(m_context.now + wait, [this] { start(); });
 }
 
 } // namespace siskinspread
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -3,9 +3,10 @@
 #include "WakeSignal.h"
 #include "siskinspread/AccountLookups.h"
 #include "siskinspread/CallerRoutes.h"
-#include "siskinspread/ConfigurationCodec.h"
-#include "siskinspread/ConfigurationWatch.h"
+#include "siskinspread/ConfigurationFeedAdapter.h"
+#include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/LogWriter.h"
+#include "siskinspread/MembershipAdapter.h"
 #include "siskinspread/ModelRequests.h"
 #include "siskinspread/OperatorRoutes.h"
 #include "siskinspread/PeerAccounts.h"
@@ -13,6 +14,7 @@
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServerChannel.h"
 #include "siskinspread/ServicePools.h"
+#include "siskinspread/SystemView.h"
 #include "siskinspread/Timers.h"
 
 #include <algorithm>
@@ -63,6 +65,11 @@
         return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()) };
     }
 
+    HeartbeatChannelOptions heartbeatOptions(const schema::Settings& settings)
+    {
+        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().heartbeat_port()), .ringCapacity = settings.limits().ring_capacity() };
+    }
+
     LogLevel logLevel(schema::LogSettings::Level level)
     {
         switch (level) {
@@ -92,13 +99,14 @@
     {
         readClocks();
         const auto port = m_callers.start(reason);
-        if (!port || !m_peerCallers.start(reason)) {
+        if (!port || !m_peerCallers.start(reason) || !m_heartbeats.start(reason)) {
             return false;
         }
         m_backendServers.startClient();
         m_platform.startClient();
         m_peers.startClient();
-        m_watch.start();
+        m_configuration.start();
+        m_membership.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
         while (!isFinished()) {
@@ -110,6 +118,7 @@
         m_backendServers.stopClient();
         m_platform.stopClient();
         m_peers.stopClient();
+        m_heartbeats.stop();
         return true;
     }
 
@@ -143,6 +152,7 @@
         readClocks();
         takeCallerEvents();
         takePeerEvents();
+        takeHeartbeats();
         m_backendServers.dispatchEvents();
         m_platform.dispatchEvents();
         m_peers.dispatchEvents();
@@ -174,26 +184,17 @@
         }
     }
 
-    void scheduleRefresh()
+    void takeHeartbeats()
     {
-        m_pools.refresh();
-        m_timers.schedule(m_context.now + refreshInterval, [this] { scheduleRefresh(); });
+        while (const auto datagram = m_heartbeats.next()) {
+            m_membership.receive(*datagram);
+        }
     }
 
-    void onConfiguration(const std::string& content)
+    void scheduleRefresh()
     {
-        LastReason reason;
-        const auto configuration = decodeConfiguration(content, reason);
-        if (!configuration) {
-            m_log.write({ .level = LogLevel::Error, .message = "the stored configuration is not valid; the one in force stands", .code = reason.code, .fields = { { .name = "detail", .value = reason.detail } } });
-            return;
-        }
-        if (configuration->revision() <= m_pools.revision()) {
-            m_log.write({ .level = LogLevel::Warning, .message = "an older configuration was refused", .code = ResultCode::StaleRevision, .fields = { { .name = "revision", .value = configuration->revision() } } });
-            return;
-        }
-        m_pools.apply(*configuration);
-        m_log.write({ .level = LogLevel::Info, .message = "configuration in force", .fields = { { .name = "revision", .value = configuration->revision() } } });
+        m_pools.refresh();
+        m_timers.schedule(m_context.now + refreshInterval, [this] { scheduleRefresh(); });
     }
 
     void advanceStop()
@@ -211,6 +212,7 @@
             m_closingEnds = m_context.now + closingTime;
             m_leaveAt = m_context.now + lastWriteTime;
             m_writer.close();
+            m_membership.leave();
         }
     }
 
@@ -249,6 +251,7 @@
     TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers) };
     TransferRouter m_platform { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPlatform) };
     TransferRouter m_peers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPeers) };
+    HeartbeatChannel m_heartbeats { heartbeatOptions(m_settings), waker() };
     HostContext m_context {
         .settings = m_settings,
         .incarnation = drawIncarnation(m_settings.host().name()),
@@ -272,8 +275,10 @@
     AccountLookups m_accounts { m_context, m_timers, m_store, [this](const AccountQuery& query) { return localAccount(query); },
         [this](const IncarnationId& incarnation, const AccountQuery& query, PeerAccounts::Done done) { m_peerAccounts.ask(incarnation, query, std::move(done)); } };
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .accounts = m_accounts, .log = m_writer } };
-    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [](const IdempotencyKey&) { return std::vector<IncarnationId> {}; } } };
-    ConfigurationWatch m_watch { m_context, m_timers, m_store, [this](const std::string& content) { onConfiguration(content); } };
+    ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { m_pools.apply(configuration); } };
+    MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
+    SystemView m_system { m_context, m_membership, m_configuration };
+    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [](const IdempotencyKey&) { return std::vector<IncarnationId> {}; }, .system = m_system } };
     MonotonicTime m_graceEnds {};
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
--- a/packages/daemon/src/OperatorRoutes.cpp
+++ b/packages/daemon/src/OperatorRoutes.cpp
@@ -41,7 +41,9 @@
 {
     const Target target = splitTarget(request.target);
     if (target.path == "/operator/status") {
-        send(request.exchange, statusOk, jsonContentType, statusJson());
+        m_parts.system.collect([this, exchange = request.exchange](const std::vector<EntryHostView>& hosts) {
+            send(exchange, statusOk, jsonContentType, statusJson(hosts));
+        });
         return true;
     }
     if (target.path.starts_with(accountsPath)) {
@@ -87,7 +89,7 @@
     });
 }
 
-std::string OperatorRoutes::statusJson() const
+std::string OperatorRoutes::statusJson(const std::vector<EntryHostView>& entryHosts) const
 {
     nlohmann::json servers = nlohmann::json::array();
     for (const auto& [name, pool] : m_parts.pools.services()) {
@@ -95,18 +97,17 @@
             servers.push_back({ { "name", server.description.name }, { "pool", pool->service.pool() }, { "failure_domain", server.description.failureDomain }, { "state", statusName(server.status) }, { "open_requests", server.ownInFlight } });
         }
     }
-    const nlohmann::json self {
-        { "name", m_context.settings.host().name() },
-        { "failure_domain", m_context.settings.host().failure_domain() },
-        { "incarnation", m_context.incarnation.text },
-        { "state", "live" },
-        { "configuration_revision", m_parts.pools.revision() },
-        { "open_requests", m_parts.requests.openCount() },
-    };
+    nlohmann::json hosts = nlohmann::json::array();
+    for (const EntryHostView& view : entryHosts) {
+        hosts.push_back({ { "name", view.name }, { "failure_domain", view.failureDomain }, { "incarnation", view.incarnation }, { "state", memberStatusName(view.status) }, { "configuration_revision", view.configurationRevision } });
+    }
+    if (!hosts.empty()) {
+        hosts.front()["open_requests"] = m_parts.requests.openCount(); // the others' are not known here
+    }
     const nlohmann::json status {
         { "observer", m_context.settings.host().name() },
         { "configuration_revision", m_parts.pools.revision() },
-        { "entry_hosts", nlohmann::json::array({ self }) },
+        { "entry_hosts", hosts },
         { "backend_servers", servers },
     };
     return status.dump();
