Take a server for slow from 1.8 times the median on; fewer homes again

Cause: a home with a full batch steps up to twice as slowly as an idle server, was taken for slow (limit 1.4) and lost its prefixes. Tried and left out: part credit for the next homes in rendezvous order (spills): no scenario better by more than the spread.

--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -81,7 +81,7 @@
     uint32_t minimumSamples { 5 };
     double prefillTokensPerSecond { 8000 }; /**< Prompt tokens that a backend server computes in a second, above zero. */
     double othersShare { 0.2 }; /**< Part of what the other hosts probably did that is added to this host's own changes; 0 to 1. */
-    double slowTolerance { 1.4 }; /**< A server counts as slow from this multiple of the pool's median on. */
+    double slowTolerance { 1.8 }; /**< A server counts as slow from this multiple of the pool's median on. */
 };
 
 /** Sums over the servers that receive new work, at the last refresh of the view. */
--- a/packages/decisions/include/siskinspread/Routing.h
+++ b/packages/decisions/include/siskinspread/Routing.h
@@ -23,7 +23,7 @@
     double loadBound { 1.25 }; /**< A server's load relative to its share of the pool's, above 1. */
     double comfortableUse { 1.0 }; /**< Part of the usable slots below which a server is never over its bound. */
     uint32_t instructionTokens { 0 }; /**< Beginning that many conversations of a service share; any server may hold it. */
-    double replicaSlack { 0.7 }; /**< Servers for a prefix relative to its share of the work. */
+    double replicaSlack { 0.4 }; /**< Servers for a prefix relative to its share of the work. */
     std::chrono::milliseconds firstTokenTarget { 1400 }; /**< The service's latency target. */
     double cheapPart { 0.4 }; /**< Part of the target up to which time to first token costs little. */
     double cheapLatency { 0.2 }; /**< Cost of that time relative to the time beyond it. */
