--- a/packages/daemon/src/KeyedRequests.cpp
+++ b/packages/daemon/src/KeyedRequests.cpp
@@ -175,7 +175,8 @@
 void KeyedRequests::answerCaller(ExchangeId exchange, const AnswerRequest& answer)
 {
     const std::string id = formatRequestId(answer.request);
-    if (!answer.httpStatus) {
+    const bool isBackendAnswer = answer.runState == RunState::Ran;
+    if (!isBackendAnswer) {
         sendRefusal(m_context, m_context.callers, exchange, id, { .code = answer.result, .runState = answer.runState, .retryAfter = answer.retryAfter });
         return;
     }
--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -45,6 +45,12 @@
         return counters.value(key, 0);
     }
 
+    /** @return whether the ledger has received the call and has not run it yet. */
+    bool isPending(Deployment& deployment, const std::string& key)
+    {
+        return nlohmann::json::parse(httpCall({ .url = deployment.ledger(0).url("/record/" + key) }).body).value("pending", 0) > 0;
+    }
+
     /** @return the index of the host that owns the key, as its account says. */
     size_t ownerOf(const Deployment& deployment, size_t asked, const std::string& key)
     {
@@ -156,7 +162,7 @@
 {
     Deployment deployment { twoDomains };
     HoldInFlight inFlight { deployment, 0, "hold-5" };
-    eventually("the call has reached the ledger", [&] { return httpCall({ .url = deployment.ledger(0).url("/record/hold-5") }).status != 0; });
+    eventually("the call has reached the ledger", [&] { return isPending(deployment, "hold-5"); });
     const size_t witness = (inFlight.owner + 1) % deployment.hostCount();
     deployment.host(inFlight.owner).process->kill();
     inFlight.response.wait();
