--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -44,5 +44,5 @@
   target_compile_options(${NAME} PRIVATE ${SISKINSPREAD_WARNINGS})
   add_test(NAME ${NAME} COMMAND ${NAME})
   set_tests_properties(${NAME} PROPERTIES
-    ENVIRONMENT "RC_PARAMS=seed=1 max_success=1000" LABELS "${LABEL}" TIMEOUT 300)
+    ENVIRONMENT "RC_PARAMS=seed=1 max_success=1000" LABELS "${LABEL}" TIMEOUT 600)
 endfunction()
