Say goodbye also when the log was closed by another host

A host that woke up after its replacement left the slices that had not moved yet to the time limit on silence.

--- a/packages/common/include/siskinspread/Ids.h
+++ b/packages/common/include/siskinspread/Ids.h
@@ -17,14 +17,14 @@
  */
 struct IncarnationId {
     std::string text;
-    auto operator<=>(const IncarnationId&) const = default;
+    auto operator<=>(const IncarnationId&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the 0 of a rewritten comparison for a pointer
 };
 
 /** Identifies a request: the incarnation that accepted it and its sequence number there, counted from 1. */
 struct RequestId {
     IncarnationId incarnation;
     uint64_t sequence { 0 };
-    auto operator<=>(const RequestId&) const = default;
+    auto operator<=>(const RequestId&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the 0 of a rewritten comparison for a pointer
 };
 
 /** @return the text form "INCARNATION-SEQUENCE". Thread safety: reentrant. */
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -245,8 +245,8 @@
     void onLogEnded(bool planned)
     {
         m_desk.logEnded();
+        m_directory.sayGoodbye();
         if (planned) {
-            m_directory.sayGoodbye();
             return;
         }
         m_log.write({ .level = LogLevel::Error, .message = "the log of this incarnation was closed by another host; stopping", .code = ResultCode::LogClosed });
--- a/packages/decisions/include/siskinspread/IncarnationLogEntries.h
+++ b/packages/decisions/include/siskinspread/IncarnationLogEntries.h
@@ -20,14 +20,14 @@
 struct IdempotencyKey {
     std::string customer;
     std::string text;
-    auto operator<=>(const IdempotencyKey&) const = default;
+    auto operator<=>(const IdempotencyKey&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the 0 of a rewritten comparison for a pointer
 };
 
 /** 128-bit hash (XXH3) of the method, path and body of a request. */
 struct BodyDigest {
     uint64_t high { 0 };
     uint64_t low { 0 };
-    auto operator<=>(const BodyDigest&) const = default;
+    auto operator<=>(const BodyDigest&) const = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the 0 of a rewritten comparison for a pointer
 };
 
 /** Recorded before a non-repeatable request is dispatched: from here on it may have run. */
