--- a/packages/daemon/src/CallerRoutes.cpp
+++ b/packages/daemon/src/CallerRoutes.cpp
@@ -150,7 +150,7 @@
     const auto [name, path] = splitService(request.target);
     const auto service = m_parts.pools.services().find(name);
     if (service == m_parts.pools.services().end() || service->second->service.kind() != schema::PLAIN) {
-        refuse(request.exchange, { .code = name.empty() ? ResultCode::UnknownPath : ResultCode::UnknownService });
+        refuse(request.exchange, { .code = path == "/" ? ResultCode::UnknownPath : ResultCode::UnknownService });
         return;
     }
     if (!isNonRepeatable(service->second->service, request.method, path)) {
