--- a/packages/daemon/include/siskinspread/LogWriter.h
+++ b/packages/daemon/include/siskinspread/LogWriter.h
@@ -57,7 +57,7 @@
     void run(const SendCopies&);
     void run(const EntryDurable&);
     void run(const EntryRefused&);
-    void run(const LogEnded&);
+    void run(const LogEnded&) const;
     void run(const CopyHolderNeeded&) const;
     void complete(uint64_t token, bool durable, ResultCode);
     void created(uint64_t number, const TransferEnded&);
--- a/packages/daemon/src/LogWriter.cpp
+++ b/packages/daemon/src/LogWriter.cpp
@@ -142,7 +142,7 @@
     done(durable, code);
 }
 
-void LogWriter::run(const LogEnded& action)
+void LogWriter::run(const LogEnded& action) const
 {
     if (onEnded) {
         onEnded(action.planned);
