Let the killed-owner test wait for the owner's first attempt, not for the ledger's record

Cause: the ledger's delay_ms fault also delays /record, so the test looked at the record only after the call had run, found nothing pending, and polled until its limit. Ruled out: the daemon; the polling never reached the second try. Change: the fixture waits until the owner's account counts one attempt, and the ledger holds the call for 4 s.

--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <future>
+#include <optional>
 
 namespace siskinspread::testing {
 
@@ -62,33 +63,43 @@
         return counters.value(key, 0);
     }
 
-    /** @return whether the ledger has received the call and has not run it yet. */
-    bool isPending(Deployment& deployment, const std::string& key)
+    /** @return the key's account as the asked host tells it, or nothing while it has none. */
+    std::optional<nlohmann::json> accountOf(const Deployment& deployment, size_t asked, const std::string& key)
     {
-        return nlohmann::json::parse(httpCall({ .url = deployment.ledger(0).url("/record/" + key) }).body).value("pending", 0) > 0;
+        const auto response = httpCall({ .url = deployment.host(asked).url("/accounts?key=" + key), .headers = { Deployment::authorization() } });
+        if (response.status != 200) {
+            return std::nullopt;
+        }
+        return nlohmann::json::parse(response.body);
+    }
+
+    /** @return the index of the host that recorded the account, or hostCount() where none of them did. */
+    size_t recorderOf(const Deployment& deployment, const nlohmann::json& account)
+    {
+        const auto recordedBy = account.value("recorded_by", "");
+        size_t recorder = 0;
+        while (recorder < deployment.hostCount() && !recordedBy.starts_with(deployment.host(recorder).name + ".")) {
+            ++recorder;
+        }
+        return recorder;
     }
 
-    /** @return the index of the host that owns the key, as its account says. */
-    size_t ownerOf(const Deployment& deployment, size_t asked, const std::string& key)
+    /** @return the index of the host that owns the key, once its account says so and counts at least the given attempts. */
+    size_t ownerOf(const Deployment& deployment, size_t asked, const std::string& key, int attempts = 0)
     {
         size_t owner = deployment.hostCount();
         eventually("an account of " + key, [&] {
-            const auto response = httpCall({ .url = deployment.host(asked).url("/accounts?key=" + key), .headers = { Deployment::authorization() } });
-            if (response.status != 200) {
+            const auto account = accountOf(deployment, asked, key);
+            if (!account || account->value("attempts", 0) < attempts) {
                 return false;
             }
-            const auto recordedBy = nlohmann::json::parse(response.body).value("recorded_by", "");
-            for (size_t i = 0; i < deployment.hostCount(); ++i) {
-                if (recordedBy.starts_with(deployment.host(i).name + ".")) {
-                    owner = i;
-                }
-            }
+            owner = recorderOf(deployment, *account);
             return owner < deployment.hostCount();
         });
         return owner;
     }
 
-    /** Sends a hold that the ledger delays, waits until the ledger has it, and names its owner. */
+    /** Sends a hold that the ledger delays, waits until its owner has sent it on, and names the owner. */
     struct HoldInFlight {
         Deployment& deployment;
         std::string key;
@@ -100,9 +111,9 @@
             , key(std::move(idempotencyKey))
         {
             holdWhenOwned(deployment, host, "warm-" + key); // the slices have owners from here on
-            deployment.ledger(0).setFaults(R"({"delay_ms":1500})");
+            deployment.ledger(0).setFaults(R"({"delay_ms":4000})");
             response = std::async(std::launch::async, [this, host] { return holdUntilTaken(deployment, host, key); });
-            owner = ownerOf(deployment, host, key);
+            owner = ownerOf(deployment, host, key, 1);
         }
     };
 
@@ -179,7 +190,6 @@
 {
     Deployment deployment { twoDomains };
     HoldInFlight inFlight { deployment, 0, "hold-5" };
-    eventually("the call has reached the ledger", [&] { return isPending(deployment, "hold-5"); });
     const size_t witness = (inFlight.owner + 1) % deployment.hostCount();
     deployment.host(inFlight.owner).process->kill();
     inFlight.response.wait();
--- a/tests/process/support/RawConnection.cpp
+++ b/tests/process/support/RawConnection.cpp
@@ -32,7 +32,7 @@
     close(m_descriptor);
 }
 
-bool RawConnection::send(std::string_view bytes)
+bool RawConnection::send(std::string_view bytes) const
 {
     while (!bytes.empty()) {
         const ssize_t sent = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -47,7 +47,7 @@
     return true;
 }
 
-void RawConnection::endSending()
+void RawConnection::endSending() const
 {
     shutdown(m_descriptor, SHUT_WR);
 }
--- a/tests/process/support/RawConnection.h
+++ b/tests/process/support/RawConnection.h
@@ -17,10 +17,10 @@
     RawConnection& operator=(const RawConnection&) = delete;
 
     /** Sends as much as the other end takes. @return false when it has closed. */
-    bool send(std::string_view bytes);
+    bool send(std::string_view bytes) const;
 
     /** Closes the sending half. */
-    void endSending();
+    void endSending() const;
 
     /** Reads until `text` has arrived, the other end closes or nothing comes before the deadline. @return all read so far. */
     const std::string& readUntil(std::string_view text, std::chrono::milliseconds deadline = std::chrono::seconds(20));
