Refuse other spellings of a path that may not be repeated

Cause: the rule about calls that may not be repeated compared the path as it was sent, while the backend server, and libcurl on the way, read /%68olds, /./holds and /x/../holds as /holds. Found by reading the routes. Ruled out: resolving the path before the comparison; two readers of one path may still disagree, so only one spelling is taken. Change: a service with such calls takes canonical paths only (400), libcurl sends the path as it is. The test deployment's rule is /holds now, not every path. Also: a plain service may not take the name of a path of the entry host (accounts, healthz, metrics, readyz, v1), /accountsX is no account path, and a refusal for a full ring carries its request id and is counted. Conclusion: at most once held only for callers who spelt the path as the rule.

--- a/packages/daemon/src/CallerRoutes.cpp
+++ b/packages/daemon/src/CallerRoutes.cpp
@@ -11,6 +11,7 @@
 
     constexpr std::string_view chatPath = "/v1/chat/completions";
     constexpr std::string_view accountsPath = "/accounts";
+    constexpr std::string_view accountPrefix = "/accounts/";
     constexpr std::string_view bearer = "Bearer ";
     constexpr std::chrono::milliseconds defaultDeadline { 600'000 };
     constexpr std::chrono::milliseconds longestDeadline { 24 * 3600 * 1000 }; // beyond it adding to a time could overflow
@@ -76,7 +77,7 @@
         refuse(request.exchange, { .code = ResultCode::UnknownCustomer });
         return;
     }
-    if (target.path.starts_with(accountsPath)) {
+    if (target.path == accountsPath || target.path.starts_with(accountPrefix)) {
         handleAccount(request, target, *customer);
         return;
     }
@@ -104,9 +105,9 @@
 void CallerRoutes::handleAccount(const IncomingRequest& request, const Target& target, const std::string& customer)
 {
     AccountQuery query;
-    if (target.path.size() > accountsPath.size() + 1) {
+    if (target.path.size() > accountPrefix.size()) {
         LastReason reason;
-        const auto id = parseRequestId(target.path.substr(accountsPath.size() + 1), reason);
+        const auto id = parseRequestId(target.path.substr(accountPrefix.size()), reason);
         if (!id) {
             refuse(request.exchange, { .code = reason.code, .detail = reason.detail });
             return;
@@ -153,6 +154,10 @@
         refuse(request.exchange, { .code = path == "/" ? ResultCode::UnknownPath : ResultCode::UnknownService });
         return;
     }
+    if (service->second->service.non_repeatable_calls_size() && !isCanonicalPath(splitTarget(path).path)) {
+        refuse(request.exchange, { .code = ResultCode::MalformedRequest, .detail = "the path has another spelling; send the shortest one, without empty or dot segments and without escapes that are not needed" });
+        return;
+    }
     if (!isNonRepeatable(service->second->service, request.method, path)) {
         m_parts.plain.accept(request, service->second, path, customer, left);
         return;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -270,14 +270,13 @@
         return refusalResponse(0, m_requests.refusalId(), refusal);
     }
 
+    /** Runs on the server's thread. */
     RespondWhole ringFullResponse(ExchangeId exchange)
     {
         m_metrics.countRingRefusal(Ring::CallersToDecide);
         const Refusal refusal { .code = ResultCode::RingFull };
-        RespondWhole response { .exchange = exchange, .status = resultInfo(refusal.code).httpStatus, .headers = {}, .body = refusalJson("", refusal) };
-        response.headers.push_back({ .name = "Content-Type", .value = "application/json" });
-        response.headers.push_back({ .name = "Retry-After", .value = retryAfterSeconds(defaultRetryAfter) });
-        return response;
+        m_metrics.countRefusal(refusal.code);
+        return refusalResponse(exchange, m_requests.refusalId(), refusal);
     }
 
     AccountAnswer localAccount(const AccountQuery& query) const
--- a/packages/settings/src/ServiceChecks.cpp
+++ b/packages/settings/src/ServiceChecks.cpp
@@ -6,6 +6,16 @@
 
 namespace {
 
+    // First segments of the paths that the entry hosts answer themselves; a service of that name could not be reached.
+    const std::set<std::string> reservedNames { "accounts", "healthz", "metrics", "readyz", "v1" };
+
+    void checkName(const schema::Service& service, const std::string& key, ProblemCollector& problems)
+    {
+        if (service.kind() == schema::PLAIN && reservedNames.contains(service.name())) {
+            problems.add(key + ".name", "is \"" + service.name() + "\", a path of the entry host; allowed: any name but accounts, healthz, metrics, readyz and v1");
+        }
+    }
+
     void checkTimes(const schema::Service& service, const std::string& key, ProblemCollector& problems)
     {
         const std::string progress = std::to_string(service.progress_timeout_ms());
@@ -66,6 +76,7 @@
 
 void checkService(const schema::Service& service, const std::string& key, ProblemCollector& problems)
 {
+    checkName(service, key, problems);
     checkTimes(service, key, problems);
     checkWeights(service.weights(), key, problems);
     checkNonRepeatableCalls(service, key, problems);
--- a/packages/settings/tests/ServiceFileTest.cpp
+++ b/packages/settings/tests/ServiceFileTest.cpp
@@ -72,6 +72,7 @@
     const std::string secondServer = "\n[[services.backend_servers]]\nname = \"ledger-2\"\naddress = \"127.0.0.1:8101\"\nfailure_domain = \"gauteng-1\"\nprice_per_hour = 1";
     const std::vector<BadEdit> edits {
         { "name = \"ledger\"", "name = \"\"", "f.toml:2: services[0].name: is missing" },
+        { "name = \"ledger\"\npool", "name = \"accounts\"\npool", "f.toml:2: services[0].name: is \"accounts\", a path of the entry host; allowed: any name but" },
         { "\"plain\"", "\"plane\"", "f.toml:4: services[0].kind: is the string \"plane\"; allowed: one of \"model\", \"plain\"" },
         { "file_revision = 3\n", "", "f.toml:1: services[0].file_revision: is missing; allowed: a whole number from 1" },
         { "file_revision = 3", "file_revision = 0", "f.toml:5: services[0].file_revision: is 0" },
--- a/packages/transport/src/CurlTransfer.cpp
+++ b/packages/transport/src/CurlTransfer.cpp
@@ -38,6 +38,7 @@
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(curl, CURLOPT_PROXY, "");
     curl_easy_setopt(curl, CURLOPT_URL, m_request.url.c_str());
+    curl_easy_setopt(curl, CURLOPT_PATH_AS_IS, 1L); // the path that was checked is the path that is sent
     curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
     curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, curlMilliseconds(m_request.connectTimeout));
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, curlMilliseconds(m_request.totalTimeout));
--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -158,6 +158,17 @@
     CHECK(stock.status == 200);
 }
 
+TEST_CASE("another spelling of a path does not make a call repeatable")
+{
+    Deployment deployment { twoDomains };
+    for (const char* path : { "/ledger/%68olds", "/ledger//holds", "/ledger/./holds", "/ledger/x/../holds" }) {
+        const HttpResponse response = httpCall({ .method = "POST", .url = deployment.host(0).url(path), .headers = { Deployment::authorization() }, .body = "{}" });
+        CAPTURE(path);
+        CHECK(response.status == 400);
+        CHECK(errorOf(response).at("name") == "malformed_request");
+    }
+}
+
 TEST_CASE("a ledger that ran the call and lost the answer: may have run, and never runs again")
 {
     Deployment deployment { twoDomains };
--- a/tests/process/support/Deployment.cpp
+++ b/tests/process/support/Deployment.cpp
@@ -101,7 +101,7 @@
         return {};
     }
     std::string text = "[[services]]\nname = \"ledger\"\npool = \"ledger\"\nkind = \"plain\"\nfile_revision = 1\n"
-                       "[[services.non_repeatable_calls]]\nmethod = \"POST\"\npath_prefix = \"/\"\n";
+                       "[[services.non_repeatable_calls]]\nmethod = \"POST\"\npath_prefix = \"/holds\"\n";
     for (size_t i = 0; i < m_ledgers.size(); ++i) {
         text += backendServerText("ledger-" + std::to_string(i), m_ledgers[i]->address(), domainName(i % m_options.failureDomains), i + 1);
     }
--- a/tests/process/support/HttpClient.cpp
+++ b/tests/process/support/HttpClient.cpp
@@ -59,6 +59,7 @@
         }
         const std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)> headers(list, &curl_slist_free_all);
         curl_easy_setopt(handle.get(), CURLOPT_URL, request.url.c_str());
+        curl_easy_setopt(handle.get(), CURLOPT_PATH_AS_IS, 1L); // a test may want to send a path with dot segments
         curl_easy_setopt(handle.get(), CURLOPT_NOPROXY, "*");
         curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
