Write the log on a thread of its own

Cause: Log::write wrote to standard error on the thread that logged, so a reader who stopped reading held up the decide thread, and with it every request. Ruled out: a non-blocking standard error; the descriptor is shared with whoever started the daemon. Change: LineWriter, a thread behind a bounded ring; lines that do not fit are counted (ring to_log) and the next one is preceded by their number. Before: not run with a blocked reader; the old write could not return by its construction. Conclusion: a stalled log reader costs log lines only, and says so.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -100,7 +100,7 @@
 public:
     explicit Implementation(schema::Settings settings)
         : m_settings(std::move(settings))
-        , m_log({ .host = m_settings.host().name(), .failureDomain = m_settings.host().failure_domain(), .minimumLevel = logLevel(m_settings.log().level()) })
+        , m_log({ .host = m_settings.host().name(), .failureDomain = m_settings.host().failure_domain(), .minimumLevel = logLevel(m_settings.log().level()), .onLost = ringRefusal(Ring::ToLog) })
         , m_metrics({ .host = m_settings.host().name(), .failureDomain = m_settings.host().failure_domain() })
     {
     }
--- a/packages/daemon/tests/HostFixture.h
+++ b/packages/daemon/tests/HostFixture.h
@@ -106,7 +106,7 @@
     }
 
     schema::Settings settings;
-    Log log { { .host = "a", .write = [](std::string_view) {} } };
+    Log log { { .host = "a", .write = [](std::string_view) { return true; } } };
     Metrics metrics { { .host = "a", .failureDomain = "one" } };
     RecordedTransfers backendServers;
     RecordedTransfers platform;
--- a/packages/observability/include/siskinspread/Log.h
+++ b/packages/observability/include/siskinspread/Log.h
@@ -8,6 +8,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,8 @@
 
 namespace siskinspread {
 
+class LineWriter;
+
 /** Severity of a log entry, from the least to the most severe. */
 enum class LogLevel : uint8_t {
     Debug,
@@ -95,13 +98,19 @@
     std::string host {};
     std::string failureDomain {};
     LogLevel minimumLevel { LogLevel::Info };
-    std::function<void(std::string_view line)> write {}; /**< Receives each line with its newline, one call at a time; standard error when empty. */
+    /**
+     * Receives each line with its newline, one call at a time; returns false where it could not take it. A LineWriter on
+     * standard error when empty.
+     */
+    std::function<bool(std::string_view line)> write {};
+    std::function<void()> onLost {}; /**< A line could not be taken. Called on the thread that wrote it. */
     std::function<WallTime()> clock {}; /**< The system clock when empty. */
 };
 
 /**
  * The log of a process: one JSON object a line on standard error, through easylogging++. It opens no file. Lines that
- * other code logs with easylogging++ are wrapped in the same form.
+ * other code logs with easylogging++ are wrapped in the same form. A reader that stops reading holds up nobody: lines that
+ * cannot be taken are counted, and the next one that can be is preceded by a line with their number.
  *
  * Precondition: at most one Log exists at a time, since easylogging++ keeps its state for the whole process.
  * Thread safety: write may be called from any thread; construction and destruction while no other thread logs.
@@ -119,6 +128,7 @@
 private:
     std::string format(const LogLine& entry) const;
 
+    std::unique_ptr<LineWriter> m_standardError;
     LogOptions m_options;
 };
 
--- a/packages/observability/include/siskinspread/Metrics.h
+++ b/packages/observability/include/siskinspread/Metrics.h
@@ -38,6 +38,7 @@
     DecideToPlatform,
     PeersToDecide,
     DecideToPeers,
+    ToLog,
 };
 
 /** Options of the metrics of a process; host and failure domain become labels of every series. */
--- a/packages/observability/src/Log.cpp
+++ b/packages/observability/src/Log.cpp
@@ -1,10 +1,11 @@
 #include "siskinspread/Log.h"
 
+#include "siskinspread/LineWriter.h"
+
 #include <easylogging++.h>
 #include <fmt/chrono.h>
 #include <nlohmann/json.hpp>
 
-#include <cstdio>
 #include <mutex>
 
 INITIALIZE_EASYLOGGINGPP
@@ -19,11 +20,6 @@
 
     using Json = nlohmann::ordered_json;
 
-    void writeStandardError(std::string_view line)
-    {
-        std::fwrite(line.data(), 1, line.size(), stderr);
-    }
-
     /** @return the time in UTC with milliseconds, in the form of RFC 3339. */
     std::string formatTime(WallTime time)
     {
@@ -79,7 +75,8 @@
     /** Passes formatted lines on and formats those that come from other loggers of easylogging++. */
     class JsonLineCallback final : public el::LogDispatchCallback {
     public:
-        std::function<void(std::string_view)> write;
+        std::function<bool(std::string_view)> write;
+        std::function<void()> onLost;
         std::function<std::string(const LogLine&)> format;
 
     protected:
@@ -97,9 +94,23 @@
         void writeLine(const std::string& line)
         {
             const std::scoped_lock lock { m_mutex };
-            write(line);
+            if (!reportLost() || !write(line)) {
+                ++m_lost;
+                onLost();
+            }
         }
 
+        /** @return false when lines were lost and even the line that says so could not be taken. */
+        bool reportLost()
+        {
+            if (m_lost && !write(format({ .level = LogLevel::Warning, .message = "log lines lost", .fields = { { "lines", m_lost } } }))) {
+                return false;
+            }
+            m_lost = 0;
+            return true;
+        }
+
+        uint64_t m_lost { 0 }; /**< Since the last line that told of it; guarded by m_mutex. */
         std::mutex m_mutex;
     };
 
@@ -133,7 +144,11 @@
     : m_options(std::move(options))
 {
     if (!m_options.write) {
-        m_options.write = writeStandardError;
+        m_standardError = std::make_unique<LineWriter>(LineWriterOptions {});
+        m_options.write = [this](std::string_view line) { return m_standardError->tryWrite(line); };
+    }
+    if (!m_options.onLost) {
+        m_options.onLost = [] {};
     }
     if (!m_options.clock) {
         m_options.clock = [] { return std::chrono::system_clock::now(); };
@@ -143,6 +158,7 @@
     el::Helpers::installLogDispatchCallback<JsonLineCallback>(callbackId);
     auto* callback = el::Helpers::logDispatchCallback<JsonLineCallback>(callbackId);
     callback->write = m_options.write;
+    callback->onLost = m_options.onLost;
     callback->format = [this](const LogLine& entry) { return format(entry); };
 }
 
--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -23,9 +23,9 @@
 
     constexpr std::array<std::string_view, 3> outcomeNames { "answered", "conflict", "unavailable" };
 
-    constexpr std::array<std::string_view, 8> ringNames {
+    constexpr std::array<std::string_view, 9> ringNames {
         "callers_to_decide", "decide_to_callers", "backend_servers_to_decide", "decide_to_backend_servers",
-        "platform_to_decide", "decide_to_platform", "peers_to_decide", "decide_to_peers"
+        "platform_to_decide", "decide_to_platform", "peers_to_decide", "decide_to_peers", "to_log"
     };
 
     CounterFamily& counters(prometheus::Registry& registry, const prometheus::Labels& labels, const char* name, const char* help)
--- a/packages/observability/tests/LogThreadTest.cpp
+++ b/packages/observability/tests/LogThreadTest.cpp
@@ -18,12 +18,23 @@
             : log({ .host = "gauteng-1a",
                 .failureDomain = "gauteng-1",
                 .minimumLevel = minimumLevel,
-                .write = [this](std::string_view line) { lines.emplace_back(line); },
+                .write = [this](std::string_view line) { return take(line); },
+                .onLost = [this] { ++lost; },
                 .clock = [] { return WallTime { std::chrono::milliseconds { 1700000000123 } }; } })
         {
         }
 
+        bool take(std::string_view line)
+        {
+            if (hasRoom) {
+                lines.emplace_back(line);
+            }
+            return hasRoom;
+        }
+
         std::vector<std::string> lines;
+        bool hasRoom { true };
+        int lost { 0 };
         Log log;
     };
 
@@ -89,4 +100,20 @@
     CHECK(std::ranges::find(seen, false) == seen.end());
 }
 
+TEST_CASE("lines that cannot be taken are counted, and the next line is preceded by their number")
+{
+    CapturedLog captured;
+    captured.hasRoom = false;
+    captured.log.write({ .message = "first" });
+    captured.log.write({ .message = "second" });
+    captured.hasRoom = true;
+    captured.log.write({ .message = "third" });
+    CHECK(captured.lost == 2);
+    REQUIRE(captured.lines.size() == 2);
+    const auto report = nlohmann::json::parse(captured.lines[0]);
+    CHECK(report["message"] == "log lines lost");
+    CHECK(report["lines"] == 2);
+    CHECK(nlohmann::json::parse(captured.lines[1])["message"] == "third");
+}
+
 } // namespace siskinspread
