--- a/packages/daemon/main/Main.cpp
+++ b/packages/daemon/main/Main.cpp
@@ -11,9 +11,10 @@
 
 namespace options = boost::program_options;
 
+// Those that siskinctl has as well mean the same there.
 constexpr int exitOk = 0;
+constexpr int exitInvalidSettings = 1;
 constexpr int exitUsage = 2;
-constexpr int exitInvalidSettings = 3;
 constexpr int exitCannotStart = 4;
 
 siskinspread::Daemon* runningDaemon = nullptr;
