--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,6 +5,10 @@
 
 add_library(siskinspread_test_main STATIC ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
 
+# What the sanitizer runs of .ci/run build: all test programs, and those that start threads or processes that do.
+add_custom_target(test_programs)
+add_custom_target(concurrent_test_programs)
+
 # siskinspread_package(NAME [LINK targets...])
 #
 # Builds siskinspread_NAME from src/*.cpp with the public headers in include/, and, where tests/*Test.cpp exist, the
@@ -60,6 +64,10 @@
   add_executable(${NAME} ${ARGN})
   target_link_libraries(${NAME} PRIVATE ${LIBRARY} siskinspread_test_main ${RAPIDCHECK_LIBRARY})
   target_compile_options(${NAME} PRIVATE ${SISKINSPREAD_WARNINGS})
+  add_dependencies(test_programs ${NAME})
+  if(LABEL)
+    add_dependencies(concurrent_test_programs ${NAME})
+  endif()
   siskinspread_known_red(${NAME} known_red)
   add_test(NAME ${NAME} COMMAND ${NAME} ${known_red})
   set_tests_properties(${NAME} PROPERTIES
