--- /dev/null
+++ b/packages/decisions/tests/AtMostOnceModelEnd.cpp
@@ -0,0 +1,141 @@
+#include "AtMostOnceModel.h"
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr size_t maxDrainRounds = 400;
+    constexpr std::chrono::milliseconds drainStep { 600 };
+
+} // namespace
+
+void AtMostOnceModel::drain()
+{
+    for (size_t round = 0; round < maxDrainRounds && !m_messages.empty(); ++round) {
+        const size_t count = m_messages.size();
+        for (size_t index = 0; index < count && !m_messages.empty(); ++index) {
+            deliver(0);
+        }
+        tick(m_messages.empty() ? drainStep : std::chrono::milliseconds { 1 });
+    }
+}
+
+void AtMostOnceModel::finish()
+{
+    m_storeCut.clear();
+    m_peerCut.clear();
+    m_choice = 1;
+    for (Node& node : m_nodes) {
+        node.paused = false;
+    }
+    for (size_t host = 0; host < m_hosts.size(); ++host) {
+        m_hosts[host] = m_hosts[host]->alive ? m_hosts[host] : start(host);
+    }
+    for (int round = 0; round < 20; ++round) {
+        drain();
+        tick(drainStep);
+    }
+    if (m_naive) {
+        return;
+    }
+    for (const Node& node : m_nodes) {
+        if (node.alive && !node.owner.requests.empty()) {
+            violate("d: " + node.log.self.text + " has open requests");
+        }
+    }
+    const size_t closedNodes = m_nodes.size();
+    const Ref closer = start(0);
+    m_hosts.push_back(closer);
+    for (size_t index = 0; index < closedNodes; ++index) {
+        Ref node = std::next(m_nodes.begin(), static_cast<std::ptrdiff_t>(index));
+        if (node->alive) {
+            logEvent(node, CloseRequested { .at = now().wall });
+        }
+    }
+    for (int round = 0; round < 20; ++round) {
+        drain();
+        tick(drainStep);
+    }
+    for (size_t index = 0; index < closedNodes; ++index) {
+        historyLoaded(closer, std::next(m_nodes.begin(), static_cast<std::ptrdiff_t>(index))->log.self);
+    }
+    for (int round = 0; round < 20; ++round) {
+        drain();
+        tick(drainStep);
+    }
+    checkLogs();
+}
+
+void AtMostOnceModel::checkLogs()
+{
+    std::map<RequestId, size_t> entries;
+    const Ref closer = m_hosts.back();
+    for (const auto& [incarnation, closing] : closer->closings) {
+        if (closing.phase != ClosingPhase::Done || !closing.history.closed || closing.history.copiesPending) {
+            violate("d: the log of " + incarnation.text + " was not closed");
+        }
+        for (const LogRecord& record : closing.history.records) {
+            const auto* outcome = std::get_if<OutcomeEntry>(&record.entry);
+            const auto* account = outcome ? &outcome->account : std::get_if<AccountEntry>(&record.entry);
+            if (account && ++entries[account->request] > 1) {
+                violate("d: two accounts on record for " + formatRequestId(account->request));
+            }
+        }
+    }
+    for (auto& [request, told] : m_told) {
+        find(request.incarnation)->alive = false;
+        lookUp(request);
+        if (!told.account) {
+            violate("d: no account of " + formatRequestId(request));
+        }
+    }
+}
+
+void AtMostOnceModel::lookUp(const RequestId& request)
+{
+    const Ref asked = find(request.incarnation);
+    const bool reachable = asked->alive && !asked->paused;
+    AccountLookupState lookup;
+    std::vector<AccountLookupAction> actions;
+    step(lookup, {}, StartLookup { .query = { .request = request, .key = {} }, .candidates = {} }, now(), actions);
+    while (!std::holds_alternative<LookupDone>(actions.back())) {
+        const AccountLookupAction action = actions.back();
+        actions.clear();
+        AccountLookupEvent event = IncarnationSilent { .incarnation = request.incarnation };
+        if (const auto* ask = std::get_if<AskIncarnation>(&action); ask && reachable) {
+            event = IncarnationAnswered { .incarnation = ask->incarnation, .answer = accountFromOwner(asked->owner, ask->query) };
+        } else if (const auto* read = std::get_if<ReadBatch>(&action)) {
+            const auto found = m_batches.find({ read->incarnation, read->number });
+            event = LookupRead { BatchFound { .number = read->number, .batch = found == m_batches.end() ? std::nullopt : std::optional(found->second) } };
+        } else if (const auto* copy = std::get_if<ReadSealedCopy>(&action)) {
+            const auto found = m_sealed.find(copy->incarnation);
+            event = LookupRead { SealedCopyFound { .copy = found == m_sealed.end() ? std::nullopt : std::optional(found->second) } };
+        }
+        step(lookup, {}, event, now(), actions);
+    }
+    const AccountAnswer answer = std::get<LookupDone>(actions.back()).answer;
+    Told& about = m_told[request];
+    const bool historyLost = m_copied.contains(request) && m_sealed.contains(request.incarnation) && !m_sealed[request.incarnation].complete;
+    if (answer.standing == AccountStanding::Final) {
+        ++m_coverage.finalLookups;
+        if (about.account && !historyLost && about.account->account != answer.account) {
+            violate("c: two final accounts of " + formatRequestId(request));
+        }
+        about.account = answer;
+        if (answer.account.runState == RunState::Ran && about.answer && about.answer->runState == RunState::NotRun) {
+            violate("c: told not run, account ran: " + formatRequestId(request));
+        }
+        const bool answeredRan = about.answer && about.answer->runState == RunState::Ran && !about.answer->replayOf;
+        if (answeredRan && !historyLost && answer.account.runState != RunState::Ran) {
+            violate("c: answered and accounted otherwise: " + formatRequestId(request));
+        }
+    }
+    if (answer.account.runState == RunState::NotRun && answer.standing != AccountStanding::NotFound && about.ran) {
+        violate("b: account of " + formatRequestId(request) + " says not run");
+    }
+    if (answer.account.runState == RunState::Ran && !about.ran && !answer.account.replayOf) {
+        violate("c: account of " + formatRequestId(request) + " says ran");
+    }
+}
+
+} // namespace siskinspread
