--- a/packages/decisions/tests/AtMostOnceModel.cpp
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -6,10 +6,21 @@
 
 namespace {
 
-    constexpr size_t hostCount = 3;
+    constexpr size_t hostCount = 4; // two in each failure domain: 0 and 1, 2 and 3
+    constexpr size_t hostsPerDomain = 2;
     constexpr uint32_t keyCount = 8;
     constexpr std::chrono::milliseconds requestTimeout { 5'000 };
 
+    size_t otherHost(size_t host, uint32_t choice)
+    {
+        return (host + 1 + choice % (hostCount - 1)) % hostCount;
+    }
+
+    std::pair<size_t, size_t> pairOf(size_t host, uint32_t choice)
+    {
+        return std::minmax({ host, otherHost(host, choice) });
+    }
+
 } // namespace
 
 AtMostOnceModel::AtMostOnceModel(bool naive, ModelCoverage& coverage)
@@ -21,10 +32,10 @@
         m_hosts.push_back(start(host));
     }
     for (const Ref node : m_hosts) {
-        logEvent(node, CopyHolderChosen { .holder = nodeOf(node->host + 1)->log.self });
+        logEvent(node, CopyHolderChosen { .holder = m_hosts[node->host ^ 1U]->log.self });
     }
     takeSlice(m_hosts[0], 0);
-    takeSlice(m_hosts[1], 1);
+    takeSlice(m_hosts[hostsPerDomain], 1);
     drain();
 }
 
@@ -78,32 +89,34 @@
         break;
     case 12:
     case 13:
-        restart(node, step.second);
+        restart(firstOr(node, [](const Node& one) { return !one.alive; }), step.second);
         break;
     case 14:
         node->paused = true;
         break;
     case 15:
     case 16:
-        node->paused = false;
+        firstOr(node, [](const Node& one) { return one.paused; })->paused = false;
         break;
     case 17:
         m_storeCut.insert(node->host);
         break;
     case 18:
     case 19:
-        m_storeCut.erase(node->host);
+        m_storeCut.erase(firstOr(node, [this](const Node& one) { return m_storeCut.contains(one.host); })->host);
         break;
     case 20:
-        m_peerCut.insert(std::minmax(node->host, (node->host + 1) % hostCount));
+        m_peerCut.insert(pairOf(node->host, step.second));
         break;
     case 21:
     case 22:
-        m_peerCut.erase(std::minmax(node->host, (node->host + 1) % hostCount));
+        m_peerCut.erase(m_peerCut.empty() ? pairOf(node->host, step.second) : *m_peerCut.begin());
         break;
-    case 23:
     case 24:
-        node->suspected.insert((node->host + 1 + step.second % 2) % hostCount);
+        takeSlice(node, abandonedSlice(step.second));
+        break;
+    case 23:
+        node->suspected.insert(otherHost(node->host, step.second));
         takeSlice(node, step.second % m_options.slices.sliceCount);
         break;
     case 25:
@@ -120,12 +133,58 @@
     case 30:
         chooseHolder(node, step.second);
         break;
+    case 31:
+        setStoreAway(true);
+        break;
+    case 32:
+    case 33:
+    case 34:
+        setStoreAway(false);
+        break;
+    case 35:
+        endOwnerAndHolder(step.second % m_options.slices.sliceCount);
+        break;
+    case 36:
+        endFailureDomain(step.second % m_options.slices.sliceCount);
+        break;
+    case 37:
+    case 38:
+        requestDuringTakeover(step.second % keyCount);
+        break;
+    case 39:
+        requestLostKey(step.first);
+        break;
+    case 40:
+    case 41:
+    case 42:
+    case 43:
+        chooseHolder(firstOr(node, [this](const Node& one) { return needsHolder(one); }), step.second);
+        break;
     default:
         deliver(index);
         deliver(step.second);
     }
 }
 
+/** Repairs go to a host that has the fault, so that several faults at once stay rarer than one. */
+AtMostOnceModel::Ref AtMostOnceModel::firstOr(Ref otherwise, const std::function<bool(const Node&)>& condition) const
+{
+    const auto found = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Ref node) { return condition(*node); });
+    return found == m_hosts.end() ? otherwise : *found;
+}
+
+/** A slice without a living owner, where there is one. */
+uint32_t AtMostOnceModel::abandonedSlice(uint32_t choice)
+{
+    for (uint32_t slice = 0; slice < m_options.slices.sliceCount; ++slice) {
+        const Ref owner = find(m_map.slices[slice].owner);
+        if (owner == m_nodes.end() || !owner->alive) {
+            return slice;
+        }
+    }
+    return choice % m_options.slices.sliceCount;
+}
+
 void AtMostOnceModel::requestAtOwner(uint32_t keyNumber, uint32_t slice)
 {
     const Ref owner = find(m_map.slices[slice].owner);
@@ -134,9 +193,18 @@
     }
 }
 
+void AtMostOnceModel::requestDuringTakeover(uint32_t keyNumber)
+{
+    const auto taking = std::find_if(m_hosts.begin(), m_hosts.end(), [](const Ref node) { return node->alive && !node->taking.empty(); });
+    if (taking != m_hosts.end()) {
+        request(*taking, keyNumber, false);
+    }
+}
+
 void AtMostOnceModel::repeatMessage(size_t index)
 {
-    if (!m_messages.empty() && m_messages[index].channel != Channel::Backend) {
+    // The call to the backend server takes a fresh connection, so it is not sent twice; its answer may well be.
+    if (!m_messages.empty() && (m_messages[index].channel != Channel::Backend || m_messages[index].answer)) {
         m_messages.push_back(m_messages[index]);
     }
 }
@@ -151,11 +219,19 @@
 
 void AtMostOnceModel::chooseHolder(Ref node, uint32_t choice)
 {
-    if (node->alive && !node->paused) {
-        logEvent(node, CopyHolderChosen { .holder = nodeOf(node->host + 1 + choice % 2)->log.self });
+    const Ref holder = m_hosts[otherHost(node->host, choice)];
+    if (node->alive && !node->paused && holder->alive) {
+        logEvent(node, CopyHolderChosen { .holder = holder->log.self });
     }
 }
 
+/** Membership would choose another holder for it. */
+bool AtMostOnceModel::needsHolder(const Node& node)
+{
+    const auto& declared = node.log.pendingHolder ? node.log.pendingHolder : node.log.copyHolder;
+    return node.alive && !node.paused && !node.log.closed && (!declared || !find(*declared)->alive);
+}
+
 // Requests
 
 void AtMostOnceModel::request(Ref node, uint32_t keyNumber, bool otherBody)
@@ -178,6 +254,7 @@
     node->sequence = nextSequence(node->sequence, true);
     const RequestId id { .incarnation = node->log.self, .sequence = node->sequence };
     m_told[id].key = key;
+    m_told[id].triedDuringTakeover = node->taking.contains(sliceOf(key, m_options.slices));
     ownerEvent(node, RequestArrived {
                          .request = id,
                          .key = key,
@@ -190,6 +267,7 @@
 
 void AtMostOnceModel::ownerEvent(Ref node, const AtMostOnceEvent& event)
 {
+    noteSuperseded(node, event);
     std::vector<AtMostOnceAction> actions;
     if (m_naive) {
         step(node->naive, m_options, event, actions);
@@ -226,6 +304,7 @@
         if (m_choice % 4 == 3) {
             event = AttemptNotRun { .request = request, .attempt = attempt, .backendServer = "b", .reason = ResultCode::BackendRefused, .retryAllowed = attempt < 3 };
         } else {
+            ++m_runs[about.key];
             const bool added = m_effects.emplace(about.key, request).second;
             if (!added) {
                 violate("a: the effect of " + about.key.text + " ran again for " + formatRequestId(request));
@@ -270,6 +349,7 @@
     if (resultInfo(answer.result).retryable != answer.retryAfter.has_value()) {
         violate("e: retry time of " + formatRequestId(answer.request));
     }
+    noteTold(about, answer);
     m_coverage.replayed += answer.replayOf && answer.result == ResultCode::Ok ? 1 : 0;
     m_coverage.unknown += answer.result == ResultCode::OutcomeUnknown ? 1 : 0;
     m_coverage.notRun += answer.runState == RunState::NotRun ? 1 : 0;
--- a/packages/decisions/tests/AtMostOnceModel.h
+++ b/packages/decisions/tests/AtMostOnceModel.h
@@ -35,9 +35,18 @@
     size_t logLostAlive { 0 };
     size_t ranAfterLogClosed { 0 };
     size_t finalLookups { 0 };
+    size_t ownerAndHolderLost { 0 }; /**< Both ended at once while no host reached the store, with an open intent that only they had. */
+    size_t domainLost { 0 }; /**< The same, by the end of their whole failure domain. */
+    size_t ranBeforeLoss { 0 }; /**< Such an intent whose request had run. */
+    size_t triedAfterLoss { 0 }; /**< A later try of such a key that an owner of its slice answered. */
+    size_t accountsAfterLoss { 0 }; /**< A final account of the request that held such a key. */
+    size_t triedDuringTakeover { 0 };
+    size_t supersededAnswers { 0 }; /**< An answer of an attempt that is not the current one, late or doubled. */
 };
 
 class AtMostOnceModel {
+    friend class AtMostOnceTrace;
+
 public:
     AtMostOnceModel(bool naive, ModelCoverage& coverage);
 
@@ -86,6 +95,7 @@
         std::optional<AccountAnswer> account;
         IdempotencyKey key;
         bool ran { false };
+        bool triedDuringTakeover { false };
     };
 
     Ref start(size_t host);
@@ -96,14 +106,28 @@
     void deliver(size_t index);
     void lose(size_t index, bool stillUnderWay);
     bool isCut(const Message& message) const;
-    void reply(const Message& request, std::function<void()> effect);
     void toStore(Ref node, std::function<std::function<void()>()> effect, const std::function<void()>& failed);
     void toPeer(Ref from, Ref to, std::function<void()> effect, std::function<void()> failed = {});
 
+    Ref firstOr(Ref otherwise, const std::function<bool(const Node&)>& condition) const;
+    uint32_t abandonedSlice(uint32_t choice);
     void request(Ref node, uint32_t keyNumber, bool otherBody);
     void requestAtOwner(uint32_t keyNumber, uint32_t slice);
+    void requestDuringTakeover(uint32_t keyNumber);
     void repeatMessage(size_t index);
+    void setStoreAway(bool away);
+    void endOwnerAndHolder(uint32_t slice);
+    void endFailureDomain(uint32_t slice);
+    void endTogether(const std::set<size_t>& hosts, uint32_t slice, size_t& counter);
+    void requestLostKey(size_t index);
+    void tryLostKeys();
+    void noteLoss(Ref owner, size_t& counter);
+    bool isInLog(const RequestId& request) const;
+    bool isRecordLost(const RequestId& request) const;
+    void noteSuperseded(Ref node, const AtMostOnceEvent& event);
+    void noteTold(const Told& about, const AnswerRequest& answer);
     void restart(Ref node, uint32_t choice);
+    bool needsHolder(const Node& node);
     void chooseHolder(Ref node, uint32_t choice);
     void ownerEvent(Ref node, const AtMostOnceEvent& event);
     void logEvent(Ref node, const IncarnationLogEvent& event);
@@ -142,8 +166,10 @@
     SliceMap m_map;
     uint64_t m_mapVersion { 0 };
     std::map<IdempotencyKey, RequestId> m_effects;
+    std::map<IdempotencyKey, size_t> m_runs;
     std::map<RequestId, Told> m_told;
     std::set<RequestId> m_copied; /**< Requests with an entry that was durable by copy: lost with owner and holder together. */
+    std::map<IdempotencyKey, RequestId> m_lost; /**< Requests whose intent only the lost owner and copy holder had. */
     uint32_t m_choice { 0 };
 };
 
--- a/packages/decisions/tests/AtMostOnceModelEnd.cpp
+++ b/packages/decisions/tests/AtMostOnceModelEnd.cpp
@@ -38,6 +38,7 @@
     if (m_naive) {
         return;
     }
+    tryLostKeys();
     for (const Node& node : m_nodes) {
         if (node.alive && !node.owner.requests.empty()) {
             violate("d: " + node.log.self.text + " has open requests");
@@ -118,6 +119,8 @@
     const bool historyLost = m_copied.contains(request) && m_sealed.contains(request.incarnation) && !m_sealed[request.incarnation].complete;
     if (answer.standing == AccountStanding::Final) {
         ++m_coverage.finalLookups;
+        const auto lost = m_lost.find(about.key);
+        m_coverage.accountsAfterLoss += lost != m_lost.end() && lost->second == request && isRecordLost(request) ? 1 : 0;
         if (about.account && !historyLost && about.account->account != answer.account) {
             violate("c: two final accounts of " + formatRequestId(request));
         }
--- a/packages/decisions/tests/AtMostOnceModelTest.cpp
+++ b/packages/decisions/tests/AtMostOnceModelTest.cpp
@@ -10,16 +10,17 @@
 
 namespace {
 
-    constexpr size_t stepsPerCase = 200;
+    constexpr size_t stepsPerCase = 400;
+    constexpr uint32_t operations = 128;
 
-    /** One random number per step: the low byte is the operation. */
+    /** One random number per step: its low bits are the operation, most of which deliver messages. */
     std::vector<ModelStep> randomSteps()
     {
         const auto numbers = *rc::gen::container<std::vector<uint32_t>>(stepsPerCase, rc::gen::resize(rc::kNominalSize, rc::gen::inRange<uint32_t>(0, UINT32_MAX)));
         std::vector<ModelStep> steps;
         steps.reserve(numbers.size());
         for (const uint32_t number : numbers) {
-            steps.push_back({ .operation = number % 64, .first = number / 64 % 1024, .second = number / 64 / 1024 % 4096 });
+            steps.push_back({ .operation = number % operations, .first = number / operations % 1024, .second = number / operations / 1024 % 4096 });
         }
         return steps;
     }
@@ -56,9 +57,14 @@
     CHECK(holds);
     MESSAGE("ran ", coverage.ran, ", replayed ", coverage.replayed, ", unknown ", coverage.unknown, ", not run ", coverage.notRun,
         ", taken over ", coverage.takenOver, ", durable by copy ", coverage.durableByCopy, ", sealed with copies ", coverage.sealedWithCopies,
-        ", history lost ", coverage.historyLost, ", log lost alive ", coverage.logLostAlive, ", ran after log closed ", coverage.ranAfterLogClosed, ", final lookups ", coverage.finalLookups);
+        ", history lost ", coverage.historyLost, ", log lost alive ", coverage.logLostAlive, ", ran after log closed ", coverage.ranAfterLogClosed, ", final lookups ", coverage.finalLookups,
+        ", owner and holder lost ", coverage.ownerAndHolderLost, ", domain lost ", coverage.domainLost, ", ran before the loss ", coverage.ranBeforeLoss,
+        ", tried after the loss ", coverage.triedAfterLoss, ", accounts after the loss ", coverage.accountsAfterLoss,
+        ", tried during takeover ", coverage.triedDuringTakeover, ", superseded answers ", coverage.supersededAnswers);
     for (const size_t reached : { coverage.ran, coverage.replayed, coverage.unknown, coverage.notRun, coverage.takenOver, coverage.durableByCopy,
-             coverage.sealedWithCopies, coverage.historyLost, coverage.logLostAlive, coverage.ranAfterLogClosed, coverage.finalLookups }) {
+             coverage.sealedWithCopies, coverage.historyLost, coverage.logLostAlive, coverage.ranAfterLogClosed, coverage.finalLookups,
+             coverage.ownerAndHolderLost, coverage.domainLost, coverage.ranBeforeLoss, coverage.triedAfterLoss, coverage.accountsAfterLoss,
+             coverage.triedDuringTakeover, coverage.supersededAnswers }) {
         CHECK(reached > 0);
     }
 }
