--- a/packages/decisions/tests/AtMostOnceModel.cpp
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -8,7 +8,8 @@
 
     constexpr size_t hostCount = 4; // two in each failure domain: 0 and 1, 2 and 3
     constexpr size_t hostsPerDomain = 2;
-    constexpr uint32_t keyCount = 8;
+    constexpr uint32_t keyCount = 16;
+    constexpr uint32_t firstDelivery = 60; // operations from here on deliver messages
     constexpr std::chrono::milliseconds requestTimeout { 5'000 };
 
     size_t otherHost(size_t host, uint32_t choice)
@@ -161,6 +162,10 @@
         chooseHolder(firstOr(node, [this](const Node& one) { return needsHolder(one); }), step.second);
         break;
     default:
+        if (step.operation < firstDelivery) {
+            requestAtOwner(step.second % keyCount, step.first % m_options.slices.sliceCount);
+            break;
+        }
         deliver(index);
         deliver(step.second);
     }
