Tell two processes that drew the same incarnation apart by their start

Cause: BatchRead named the writer of the batch that was found, and the owner took it for its own when the writer was its incarnation. A second process with the same incarnation so took the first one's batch for its own write with a lost answer, and called entries durable that the log does not have. The conditional create alone did not cover it. Change: the writer of an owner's batches is the incarnation with a start mark; the daemon gives the time of its start.

--- a/packages/daemon/src/LogWriter.cpp
+++ b/packages/daemon/src/LogWriter.cpp
@@ -30,6 +30,7 @@
     , m_options(optionsFor(static_cast<size_t>(context.settings.peers_size()) + 1, static_cast<size_t>(context.settings.peers_size()) + 1))
 {
     m_state.self = context.incarnation;
+    m_state.startMark = std::to_string(std::chrono::system_clock::now().time_since_epoch().count());
 }
 
 void LogWriter::append(LogEntry entry, Done done)
--- a/packages/decisions/include/siskinspread/IncarnationLog.h
+++ b/packages/decisions/include/siskinspread/IncarnationLog.h
@@ -39,9 +39,10 @@
     CreateDue, /**< The batch was not there; it is to be created again, unchanged. */
 };
 
-/** The state of one log; default-constructed but for `self`. */
+/** The state of one log; default-constructed but for `self` and `startMark`. */
 struct IncarnationLogState {
     IncarnationId self;
+    std::string startMark; /**< Differs between two processes that drew the same incarnation, such as the time of start. */
     uint64_t nextNumber { 1 };
     uint64_t nextPosition { 1 };
     std::deque<WaitingEntry> waiting; /**< In order of position; the first `outstanding` form the batch in progress. */
@@ -77,7 +78,7 @@
 struct BatchUncertain {
     uint64_t number { 0 };
 };
-/** The batch that a ReadBatch found; without a writer when there was none. */
+/** The batch that a ReadBatch found; without a writer, `LogBatch::writer`, when there was none. */
 struct BatchRead {
     uint64_t number { 0 };
     std::optional<IncarnationId> writer;
--- a/packages/decisions/include/siskinspread/IncarnationLogEntries.h
+++ b/packages/decisions/include/siskinspread/IncarnationLogEntries.h
@@ -107,7 +107,8 @@
 
 /**
  * The object `log/INCARNATION/NUMBER`, written by create-if-absent. The owner of the log builds one content for each
- * number and repeats it unchanged until it is settled, so `writer` tells whether a batch that was found is its own.
+ * number and repeats it unchanged until it is settled, so `writer` tells whether a batch that was found is its own: it
+ * is the owner's incarnation with its start mark, or the incarnation that closes the log.
  */
 struct LogBatch {
     IncarnationId incarnation; /**< Whose log this is. */
--- a/packages/decisions/src/IncarnationLog.cpp
+++ b/packages/decisions/src/IncarnationLog.cpp
@@ -62,7 +62,7 @@
                 }
                 return;
             }
-            if (*event.writer == m_state.self) {
+            if (*event.writer == writer()) {
                 settle();
             } else {
                 end(false);
@@ -135,6 +135,12 @@
         }
 
     private:
+        /** The incarnation alone does not tell this process from another one that drew the same. */
+        IncarnationId writer() const
+        {
+            return m_state.startMark.empty() ? m_state.self : IncarnationId { m_state.self.text + "/" + m_state.startMark };
+        }
+
         bool isInProgress(uint64_t number) const
         {
             return !m_state.closed && m_state.phase != BatchPhase::Idle && number == m_state.nextNumber;
@@ -202,7 +208,7 @@
 
         void create()
         {
-            LogBatch batch { .incarnation = m_state.self, .number = m_state.nextNumber, .writer = m_state.self, .records = {} };
+            LogBatch batch { .incarnation = m_state.self, .number = m_state.nextNumber, .writer = writer(), .records = {} };
             batch.records.reserve(m_state.outstanding);
             for (size_t index = 0; index < m_state.outstanding; ++index) {
                 batch.records.push_back(m_state.waiting[index].record);
