--- a/packages/common/include/siskinspread/ResultCode.h
+++ b/packages/common/include/siskinspread/ResultCode.h
@@ -49,6 +49,7 @@
     LogClosed = 304,
     IntentNotRecorded = 305,
     SliceHistoryIncomplete = 306,
+    SliceOwnerConnectionBroken = 307,
 
     BackendConnectFailed = 400,
     BackendRefused = 401,
--- a/packages/ctl/src/ExitCode.cpp
+++ b/packages/ctl/src/ExitCode.cpp
@@ -22,6 +22,7 @@
     case ResultCode::BackendNoProgress:
     case ResultCode::BackendStreamBroken:
     case ResultCode::SliceOwnerUnreachable:
+    case ResultCode::SliceOwnerConnectionBroken:
     case ResultCode::NoConfiguration:
         return ExitCode::Unavailable;
     case ResultCode::InternalError:
--- a/packages/daemon/src/KeyedRequests.cpp
+++ b/packages/daemon/src/KeyedRequests.cpp
@@ -168,8 +168,8 @@
     }
     // The owner may have taken the request: its account stands under the key, and a second try with the key is safe.
     const RequestId id = m_parts.requests.accept(request.key.customer, request.service);
-    sendRefusal(m_context, m_context.callers, exchange, formatRequestId(id), { .code = ResultCode::SliceOwnerUnreachable, .runState = RunState::MayHaveRun, .detail = "the connection to the owner broke; send the request again with the same key, or ask for the account of the key" });
-    m_parts.requests.finish(id, ResultCode::SliceOwnerUnreachable, RunState::MayHaveRun);
+    sendRefusal(m_context, m_context.callers, exchange, formatRequestId(id), { .code = ResultCode::SliceOwnerConnectionBroken, .runState = RunState::MayHaveRun, .detail = "send the request again with the same key, or ask for the account of the key" });
+    m_parts.requests.finish(id, ResultCode::SliceOwnerConnectionBroken, RunState::MayHaveRun);
 }
 
 void KeyedRequests::answerCaller(ExchangeId exchange, const AnswerRequest& answer)
