--- a/packages/decisions/tests/AtMostOnceModel.cpp
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -6,10 +6,22 @@
 
 namespace {
 
-    constexpr size_t hostCount = 3;
-    constexpr uint32_t keyCount = 8;
+    constexpr size_t hostCount = 4; // two in each failure domain: 0 and 1, 2 and 3
+    constexpr size_t hostsPerDomain = 2;
+    constexpr uint32_t keyCount = 16;
+    constexpr uint32_t firstDelivery = 60; // operations from here on deliver messages
     constexpr std::chrono::milliseconds requestTimeout { 5'000 };
 
+    size_t otherHost(size_t host, uint32_t choice)
+    {
+        return (host + 1 + choice % (hostCount - 1)) % hostCount;
+    }
+
+    std::pair<size_t, size_t> pairOf(size_t host, uint32_t choice)
+    {
+        return std::minmax({ host, otherHost(host, choice) });
+    }
+
 } // namespace
 
 AtMostOnceModel::AtMostOnceModel(bool naive, ModelCoverage& coverage)
@@ -21,10 +33,10 @@
         m_hosts.push_back(start(host));
     }
     for (const Ref node : m_hosts) {
-        logEvent(node, CopyHolderChosen { .holder = nodeOf(node->host + 1)->log.self });
+        logEvent(node, CopyHolderChosen { .holder = m_hosts[node->host ^ 1U]->log.self });
     }
     takeSlice(m_hosts[0], 0);
-    takeSlice(m_hosts[1], 1);
+    takeSlice(m_hosts[hostsPerDomain], 1);
     drain();
 }
 
@@ -78,32 +90,34 @@
         break;
     case 12:
     case 13:
-        restart(node, step.second);
+        restart(firstOr(node, [](const Node& one) { return !one.alive; }), step.second);
         break;
     case 14:
         node->paused = true;
         break;
     case 15:
     case 16:
-        node->paused = false;
+        firstOr(node, [](const Node& one) { return one.paused; })->paused = false;
         break;
     case 17:
         m_storeCut.insert(node->host);
         break;
     case 18:
     case 19:
-        m_storeCut.erase(node->host);
+        m_storeCut.erase(firstOr(node, [this](const Node& one) { return m_storeCut.contains(one.host); })->host);
         break;
     case 20:
-        m_peerCut.insert(std::minmax(node->host, (node->host + 1) % hostCount));
+        m_peerCut.insert(pairOf(node->host, step.second));
         break;
     case 21:
     case 22:
-        m_peerCut.erase(std::minmax(node->host, (node->host + 1) % hostCount));
+        m_peerCut.erase(m_peerCut.empty() ? pairOf(node->host, step.second) : *m_peerCut.begin());
         break;
-    case 23:
     case 24:
-        node->suspected.insert((node->host + 1 + step.second % 2) % hostCount);
+        takeSlice(node, abandonedSlice(step.second));
+        break;
+    case 23:
+        node->suspected.insert(otherHost(node->host, step.second));
         takeSlice(node, step.second % m_options.slices.sliceCount);
         break;
     case 25:
@@ -120,125 +134,107 @@
     case 30:
         chooseHolder(node, step.second);
         break;
+    case 31:
+        setStoreAway(true);
+        break;
+    case 32:
+    case 33:
+    case 34:
+        setStoreAway(false);
+        break;
+    case 35:
+        endOwnerAndHolder(step.second % m_options.slices.sliceCount);
+        break;
+    case 36:
+        endFailureDomain(step.second % m_options.slices.sliceCount);
+        break;
+    case 37:
+    case 38:
+        requestDuringTakeover(step.second % keyCount);
+        break;
+    case 39:
+        requestLostKey(step.first);
+        break;
+    case 40:
+    case 41:
+    case 42:
+    case 43:
+        chooseHolder(firstOr(node, [this](const Node& one) { return needsHolder(one); }), step.second);
+        break;
     default:
+        if (step.operation < firstDelivery) {
+            requestAtOwner(step.second % keyCount, step.first % m_options.slices.sliceCount);
+            break;
+        }
         deliver(index);
         deliver(step.second);
     }
 }
 
-void AtMostOnceModel::requestAtOwner(uint32_t keyNumber, uint32_t slice)
+/** Repairs go to a host that has the fault, so that several faults at once stay rarer than one. */
+AtMostOnceModel::Ref AtMostOnceModel::firstOr(Ref otherwise, const std::function<bool(const Node&)>& condition) const
 {
-    const Ref owner = find(m_map.slices[slice].owner);
-    if (owner != m_nodes.end()) {
-        request(owner, keyNumber, false);
-    }
+    const auto found = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Ref node) { return condition(*node); });
+    return found == m_hosts.end() ? otherwise : *found;
 }
 
-void AtMostOnceModel::repeatMessage(size_t index)
+/** A slice without a living owner, where there is one. */
+uint32_t AtMostOnceModel::abandonedSlice(uint32_t choice)
 {
-    if (!m_messages.empty() && m_messages[index].channel != Channel::Backend) {
-        m_messages.push_back(m_messages[index]);
+    for (uint32_t slice = 0; slice < m_options.slices.sliceCount; ++slice) {
+        const Ref owner = find(m_map.slices[slice].owner);
+        if (owner == m_nodes.end() || !owner->alive) {
+            return slice;
+        }
     }
+    return choice % m_options.slices.sliceCount;
 }
 
-void AtMostOnceModel::restart(Ref node, uint32_t choice)
+void AtMostOnceModel::requestAtOwner(uint32_t keyNumber, uint32_t slice)
 {
-    if (!node->alive) {
-        m_hosts[node->host] = start(node->host);
-        chooseHolder(m_hosts[node->host], choice);
+    const Ref owner = find(m_map.slices[slice].owner);
+    if (owner != m_nodes.end()) {
+        request(owner, keyNumber, false);
     }
 }
 
-void AtMostOnceModel::chooseHolder(Ref node, uint32_t choice)
+void AtMostOnceModel::requestDuringTakeover(uint32_t keyNumber)
 {
-    if (node->alive && !node->paused) {
-        logEvent(node, CopyHolderChosen { .holder = nodeOf(node->host + 1 + choice % 2)->log.self });
+    const auto taking = std::find_if(m_hosts.begin(), m_hosts.end(), [](const Ref node) { return node->alive && !node->taking.empty(); });
+    if (taking != m_hosts.end()) {
+        request(*taking, keyNumber, false);
     }
 }
 
-// Messages
-
-bool AtMostOnceModel::isCut(const Message& message) const
+void AtMostOnceModel::repeatMessage(size_t index)
 {
-    if (message.channel == Channel::Store) {
-        return m_storeCut.contains(message.sender->host);
+    // The call to the backend server takes a fresh connection, so it is not sent twice; its answer may well be.
+    if (!m_messages.empty() && (m_messages[index].channel != Channel::Backend || m_messages[index].answer)) {
+        m_messages.push_back(m_messages[index]);
     }
-    return message.channel == Channel::Peer && m_peerCut.contains(std::minmax(message.sender->host, message.receiver->host));
 }
 
-void AtMostOnceModel::deliver(size_t index)
+void AtMostOnceModel::restart(Ref node, uint32_t choice)
 {
-    if (m_messages.empty()) {
-        return;
-    }
-    index %= m_messages.size();
-    const Message& next = m_messages[index];
-    const bool atNode = next.answer || next.channel == Channel::Peer;
-    if (atNode && next.receiver->alive && next.receiver->paused) {
-        return; // waits in the kernel's buffers until the host goes on
-    }
-    if (isCut(next)) {
-        lose(index, false);
-        return;
-    }
-    const Message message = std::move(m_messages[index]);
-    m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(index));
-    if (!atNode || message.receiver->alive) {
-        message.effect();
-    } else if (message.failed && message.sender->alive) {
-        message.failed();
+    if (!node->alive) {
+        m_hosts[node->host] = start(node->host);
+        chooseHolder(m_hosts[node->host], choice);
     }
 }
 
-void AtMostOnceModel::lose(size_t index, bool stillUnderWay)
+void AtMostOnceModel::chooseHolder(Ref node, uint32_t choice)
 {
-    if (m_messages.empty()) {
-        return;
-    }
-    index %= m_messages.size();
-    const Message message = m_messages[index];
-    if (message.channel == Channel::Backend && !message.failed) {
-        return; // the sender's own timer
-    }
-    if (!stillUnderWay) {
-        m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(index));
+    const Ref holder = m_hosts[otherHost(node->host, choice)];
+    if (node->alive && !node->paused && holder->alive) {
+        logEvent(node, CopyHolderChosen { .holder = holder->log.self });
     }
-    if (message.failed) {
-        // The sender's own timer: it works whatever is cut.
-        m_messages.push_back({ .sender = message.sender, .receiver = message.sender, .channel = Channel::Backend, .answer = true, .effect = message.failed, .failed = {} });
-    }
-}
-
-void AtMostOnceModel::toStore(Ref node, std::function<std::function<void()>()> effect, const std::function<void()>& failed)
-{
-    const auto atStore = [this, node, effect = std::move(effect), failed] {
-        m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Store, .answer = true, .effect = effect(), .failed = failed });
-    };
-    m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Store, .answer = false, .effect = atStore, .failed = failed });
-}
-
-void AtMostOnceModel::toPeer(Ref from, Ref to, std::function<void()> effect, std::function<void()> failed)
-{
-    m_messages.push_back({ .sender = from, .receiver = to, .channel = Channel::Peer, .answer = false, .effect = std::move(effect), .failed = std::move(failed) });
 }
 
-void AtMostOnceModel::tick(std::chrono::milliseconds by)
+/** Membership would choose another holder for it. */
+bool AtMostOnceModel::needsHolder(const Node& node)
 {
-    m_now += by;
-    for (const Ref node : m_hosts) {
-        if (!node->alive || node->paused) {
-            continue;
-        }
-        logEvent(node, LogTick {});
-        ownerEvent(node, AtMostOnceTick {});
-        std::vector<IncarnationId> closing;
-        for (const auto& [incarnation, state] : node->closings) {
-            closing.push_back(incarnation);
-        }
-        for (const IncarnationId& incarnation : closing) {
-            closingEvent(node, incarnation, LogTick {});
-        }
-    }
+    const auto& declared = node.log.pendingHolder ? node.log.pendingHolder : node.log.copyHolder;
+    return node.alive && !node.paused && !node.log.closed && (!declared || !find(*declared)->alive);
 }
 
 // Requests
@@ -263,6 +259,7 @@
     node->sequence = nextSequence(node->sequence, true);
     const RequestId id { .incarnation = node->log.self, .sequence = node->sequence };
     m_told[id].key = key;
+    m_told[id].triedDuringTakeover = node->taking.contains(sliceOf(key, m_options.slices));
     ownerEvent(node, RequestArrived {
                          .request = id,
                          .key = key,
@@ -275,6 +272,7 @@
 
 void AtMostOnceModel::ownerEvent(Ref node, const AtMostOnceEvent& event)
 {
+    noteSuperseded(node, event);
     std::vector<AtMostOnceAction> actions;
     if (m_naive) {
         step(node->naive, m_options, event, actions);
@@ -311,6 +309,7 @@
         if (m_choice % 4 == 3) {
             event = AttemptNotRun { .request = request, .attempt = attempt, .backendServer = "b", .reason = ResultCode::BackendRefused, .retryAllowed = attempt < 3 };
         } else {
+            ++m_runs[about.key];
             const bool added = m_effects.emplace(about.key, request).second;
             if (!added) {
                 violate("a: the effect of " + about.key.text + " ran again for " + formatRequestId(request));
@@ -355,56 +354,10 @@
     if (resultInfo(answer.result).retryable != answer.retryAfter.has_value()) {
         violate("e: retry time of " + formatRequestId(answer.request));
     }
+    noteTold(about, answer);
     m_coverage.replayed += answer.replayOf && answer.result == ResultCode::Ok ? 1 : 0;
     m_coverage.unknown += answer.result == ResultCode::OutcomeUnknown ? 1 : 0;
     m_coverage.notRun += answer.runState == RunState::NotRun ? 1 : 0;
 }
 
-void AtMostOnceModel::lookUp(const RequestId& request)
-{
-    const Ref asked = find(request.incarnation);
-    const bool reachable = asked->alive && !asked->paused;
-    AccountLookupState lookup;
-    std::vector<AccountLookupAction> actions;
-    step(lookup, {}, StartLookup { .query = { .request = request, .key = {} }, .candidates = {} }, now(), actions);
-    while (!std::holds_alternative<LookupDone>(actions.back())) {
-        const AccountLookupAction action = actions.back();
-        actions.clear();
-        AccountLookupEvent event = IncarnationSilent { .incarnation = request.incarnation };
-        if (const auto* ask = std::get_if<AskIncarnation>(&action); ask && reachable) {
-            event = IncarnationAnswered { .incarnation = ask->incarnation, .answer = accountFromOwner(asked->owner, ask->query) };
-        } else if (const auto* read = std::get_if<ReadBatch>(&action)) {
-            const auto found = m_batches.find({ read->incarnation, read->number });
-            event = LookupRead { BatchFound { .number = read->number, .batch = found == m_batches.end() ? std::nullopt : std::optional(found->second) } };
-        } else if (const auto* copy = std::get_if<ReadSealedCopy>(&action)) {
-            const auto found = m_sealed.find(copy->incarnation);
-            event = LookupRead { SealedCopyFound { .copy = found == m_sealed.end() ? std::nullopt : std::optional(found->second) } };
-        }
-        step(lookup, {}, event, now(), actions);
-    }
-    const AccountAnswer answer = std::get<LookupDone>(actions.back()).answer;
-    Told& about = m_told[request];
-    const bool historyLost = m_copied.contains(request) && m_sealed.contains(request.incarnation) && !m_sealed[request.incarnation].complete;
-    if (answer.standing == AccountStanding::Final) {
-        ++m_coverage.finalLookups;
-        if (about.account && !historyLost && about.account->account != answer.account) {
-            violate("c: two final accounts of " + formatRequestId(request));
-        }
-        about.account = answer;
-        if (answer.account.runState == RunState::Ran && about.answer && about.answer->runState == RunState::NotRun) {
-            violate("c: told not run, account ran: " + formatRequestId(request));
-        }
-        const bool answeredRan = about.answer && about.answer->runState == RunState::Ran && !about.answer->replayOf;
-        if (answeredRan && !historyLost && answer.account.runState != RunState::Ran) {
-            violate("c: answered and accounted otherwise: " + formatRequestId(request));
-        }
-    }
-    if (answer.account.runState == RunState::NotRun && answer.standing != AccountStanding::NotFound && about.ran) {
-        violate("b: account of " + formatRequestId(request) + " says not run");
-    }
-    if (answer.account.runState == RunState::Ran && !about.ran && !answer.account.replayOf) {
-        violate("c: account of " + formatRequestId(request) + " says ran");
-    }
-}
-
 } // namespace siskinspread
