--- a/tests/standins/ChatRequest.cpp
+++ b/tests/standins/ChatRequest.cpp
@@ -1,5 +1,6 @@
 #include "ChatRequest.h"
 
+#include <chrono>
 #include <utility>
 
 namespace siskinspread::standin {
@@ -31,6 +32,11 @@
             { "choices", std::move(choices) } };
     }
 
+    int64_t monotonicMicroseconds()
+    {
+        return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    }
+
     std::string event(const nlohmann::json& data)
     {
         return "data: " + data.dump() + "\n\n";
@@ -77,6 +83,7 @@
     const nlohmann::json choice { { "index", 0 }, { "delta", delta }, { "finish_reason", nullptr } };
     auto data = chunk(request, completionId, nlohmann::json::array({ choice }));
     data["siskinspread_token_index"] = index;
+    data["siskinspread_emitted_us"] = monotonicMicroseconds();
     return event(data);
 }
 
