Send the chunks of a stream without Nagle's delay

RESTinio's default sets no socket option; the stand-ins' server sets its own.

The new case of transport_thread_tests reads the option of the accepted connection; it failed with no_delay(false) and passes with the change.

--- a/packages/transport/src/HttpServer.cpp
+++ b/packages/transport/src/HttpServer.cpp
@@ -156,6 +156,8 @@
             .request_handler([this](auto request) { return accept(std::move(request)); })
             .connection_state_listener(std::make_shared<ConnectionListener>([this](auto connection) { closed(connection); }))
             .acceptor_post_bind_hook([&port](auto& acceptor) { port = acceptor.local_endpoint().port(); })
+            // A head and its first chunk are two writes; Nagle's algorithm holds the second until the caller's delayed acknowledgement.
+            .socket_options_setter([](auto& options) { options.set_option(asio::ip::tcp::no_delay(true)); })
             .max_pipelined_requests(pipelinedRequests)
             .read_next_http_message_timelimit(m_options.readTimeout)
             .write_http_response_timelimit(m_options.writeTimeout)
--- a/packages/transport/tests/HttpThreadTest.cpp
+++ b/packages/transport/tests/HttpThreadTest.cpp
@@ -5,7 +5,11 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
 #include <queue>
+#include <sys/socket.h>
 
 namespace siskinspread {
 
@@ -45,6 +49,7 @@
                                events.push(std::move(*event));
                                return true;
                            } };
+        uint16_t serverPort { 0 };
         std::string url;
 
         Fixture()
@@ -52,7 +57,8 @@
             LastReason reason;
             const auto port = server.start(reason);
             REQUIRE(port);
-            url = "http://127.0.0.1:" + std::to_string(*port) + "/path?query=1";
+            serverPort = *port;
+            url = "http://127.0.0.1:" + std::to_string(serverPort) + "/path?query=1";
             client.start();
         }
 
@@ -66,8 +72,38 @@
         void command(ClientCommand c) { REQUIRE(client.tryCommand(c)); }
     };
 
+    /** @return TCP_NODELAY of the connection of this process that a server on the port has accepted, or nothing without one. */
+    std::optional<int> noDelayOfAccepted(uint16_t port)
+    {
+        constexpr int descriptorsToSearch = 1024;
+        for (int descriptor = 0; descriptor < descriptorsToSearch; ++descriptor) {
+            sockaddr_in own {};
+            sockaddr_in peer {};
+            socklen_t ownSize = sizeof own;
+            socklen_t peerSize = sizeof peer;
+            const bool isConnected = getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &peerSize) == 0;
+            if (!isConnected || getsockname(descriptor, reinterpret_cast<sockaddr*>(&own), &ownSize) != 0 || ntohs(own.sin_port) != port) {
+                continue;
+            }
+            int value = 0;
+            socklen_t valueSize = sizeof value;
+            REQUIRE(getsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &value, &valueSize) == 0);
+            return value;
+        }
+        return std::nullopt;
+    }
+
 } // namespace
 
+TEST_CASE_FIXTURE(Fixture, "the chunks of a stream do not wait for the caller's acknowledgement of what went before")
+{
+    command(StartTransfer { .transfer = 1, .url = url, .headers = {}, .body = {}, .streaming = true });
+    requests.pop();
+    const auto noDelay = noDelayOfAccepted(serverPort);
+    REQUIRE(noDelay);
+    CHECK(*noDelay != 0);
+}
+
 TEST_CASE_FIXTURE(Fixture, "a request and its whole response pass")
 {
     command(StartTransfer { .transfer = 7, .method = "POST", .url = url, .headers = { { .name = "X-Test", .value = "a" } }, .body = "body" });
