Ask a host for its planned stop by siskinctl drain HOST

siskinctl drain was a stub that named SIGTERM. The command is idempotent, so one whose answer was lost is sent again.

When the grace ends is a decision of its own, DrainPlan: each cause sets an end, the earliest counts, nothing moves it later.

A backend server is not drained by command: it leaves by the cloud's notice or by its service file.

--- a/packages/ctl/include/siskinspread/CommandLine.h
+++ b/packages/ctl/include/siskinspread/CommandLine.h
@@ -56,12 +56,11 @@
     std::optional<std::string> key; /**< The idempotency key that the customer sent. */
 };
 
-/** `siskinctl drain --entry-host URL... [--wait] NAME` */
+/** `siskinctl drain [--wait] HOST` */
 struct DrainArguments {
     CommonArguments common;
-    std::vector<std::string> entryHosts; /**< Tried in this order. */
-    std::string name; /**< Of the entry host or backend server that is to take no new work. */
-    bool wait { false }; /**< Wait until it has no open request. */
+    std::string host; /**< http://IP:port of the peer port of the entry host that is to stop. */
+    bool wait { false }; /**< Wait until its process has ended. */
     std::chrono::seconds waitTimeout { 0 };
 };
 
--- a/packages/ctl/include/siskinspread/OperatorApi.h
+++ b/packages/ctl/include/siskinspread/OperatorApi.h
@@ -35,7 +35,7 @@
     /** @param reason UnknownRequest when there is no such request; as for status when no entry host answered. */
     virtual std::optional<AccountAnswer> account(const AccountArguments&, LastReason& reason) = 0;
 
-    /** @param reason UnknownRequest when nothing has this name; as for status when no entry host answered. */
+    /** @param reason BackendConnectFailed when the host did not answer, BackendError when it is no entry host. */
     virtual std::optional<DrainReport> drain(const DrainArguments&, LastReason& reason) = 0;
 };
 
--- a/packages/ctl/include/siskinspread/OperatorReports.h
+++ b/packages/ctl/include/siskinspread/OperatorReports.h
@@ -2,6 +2,7 @@
 
 #include "siskinspread/SettingsProblem.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -63,10 +64,14 @@
  */
 RevisionSpread revisionSpread(const std::vector<SystemStatus>& answers, uint64_t revision);
 
-/** A drain that was ordered. */
+/** A planned stop that an entry host has begun. */
 struct DrainReport {
     std::string name {};
-    uint32_t openRequests { 0 };
+    std::string incarnation {};
+    bool alreadyDraining { false }; /**< It had begun before this command. */
+    uint32_t openRequests { 0 }; /**< As the host told last. */
+    std::chrono::milliseconds graceLeft { 0 }; /**< For these requests, as the host told last. */
+    bool hasEnded { false }; /**< With --wait: the process has ended. */
 };
 
 } // namespace siskinspread
--- a/packages/ctl/src/CommandOptions.cpp
+++ b/packages/ctl/src/CommandOptions.cpp
@@ -2,6 +2,7 @@
 
 #include "siskinspread/Endpoint.h"
 
+#include <algorithm>
 #include <sstream>
 
 namespace siskinspread {
@@ -119,13 +120,15 @@
     return true;
 }
 
+bool checkUrl(const std::string& name, const std::string& url, LastReason& reason)
+{
+    return isHttpUrl(url) || malformed(reason, name + " is \"" + url + "\"; allowed: http://IP:port");
+}
+
 bool readUrls(const po::variables_map& values, const std::string& name, LastReason& reason)
 {
     const std::string url = wordOf(values, name);
-    if (!url.empty() && !isHttpUrl(url)) {
-        return malformed(reason, "--" + name + " is \"" + url + "\"; allowed: http://IP:port");
-    }
-    return true;
+    return url.empty() || checkUrl("--" + name, url, reason);
 }
 
 bool readEntryHosts(const po::variables_map& values, bool required, std::vector<std::string>& entryHosts, LastReason& reason)
@@ -134,12 +137,7 @@
     if (required && entryHosts.empty()) {
         return malformed(reason, "--entry-host URL is needed");
     }
-    for (const std::string& url : entryHosts) {
-        if (!isHttpUrl(url)) {
-            return malformed(reason, "--entry-host is \"" + url + "\"; allowed: http://IP:port");
-        }
-    }
-    return true;
+    return std::all_of(entryHosts.begin(), entryHosts.end(), [&](const std::string& url) { return checkUrl("--entry-host", url, reason); });
 }
 
 } // namespace siskinspread
--- a/packages/ctl/src/CommandOptions.h
+++ b/packages/ctl/src/CommandOptions.h
@@ -53,6 +53,9 @@
 /** Reads --wait and --wait-timeout; `reason` as above. */
 bool readWait(const po::variables_map& values, bool& wait, std::chrono::seconds& waitTimeout, LastReason& reason);
 
+/** Checks that the value of an option or argument is a URL; `reason` as above. */
+bool checkUrl(const std::string& name, const std::string& url, LastReason& reason);
+
 /** Checks that the value of an option, where given, is a URL; `reason` as above. */
 bool readUrls(const po::variables_map& values, const std::string& name, LastReason& reason);
 
--- a/packages/ctl/src/PresentJson.cpp
+++ b/packages/ctl/src/PresentJson.cpp
@@ -142,7 +142,8 @@
 
 std::string presentJson(const DrainReport& report)
 {
-    return asLine({ { "name", report.name }, { "open_requests", report.openRequests } });
+    return asLine({ { "name", report.name }, { "incarnation", report.incarnation }, { "state", report.hasEnded ? "ended" : "draining" }, { "already_draining", report.alreadyDraining },
+        { "open_requests", report.openRequests }, { "grace_left_ms", report.graceLeft.count() } });
 }
 
 std::string presentJson(const LastReason& reason)
--- a/packages/ctl/src/PresentText.cpp
+++ b/packages/ctl/src/PresentText.cpp
@@ -126,7 +126,11 @@
 
 std::string presentText(const DrainReport& report)
 {
-    return fmt::format("{} takes no new work; {} left\n", report.name, plural(report.openRequests, "open request"));
+    const char* begin = report.alreadyDraining ? "was draining already" : "takes no new work";
+    if (report.hasEnded) {
+        return fmt::format("{} {} and has ended; {} when last seen\n", report.name, begin, plural(report.openRequests, "open request"));
+    }
+    return fmt::format("{} {}; {} left, for at most {} ms\n", report.name, begin, plural(report.openRequests, "open request"), report.graceLeft.count());
 }
 
 std::string presentText(const LastReason& reason)
--- a/packages/ctl/src/RunCommand.cpp
+++ b/packages/ctl/src/RunCommand.cpp
@@ -69,7 +69,7 @@
             LastReason reason;
             const std::optional<DrainReport> report = api.drain(arguments, reason);
             const ExitCode code = showOrFail(report, arguments.common, reason);
-            return report && arguments.wait && report->openRequests ? ExitCode::NotYet : code;
+            return report && arguments.wait && !report->hasEnded ? ExitCode::NotYet : code;
         }
 
         template <typename Report>
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -5,6 +5,7 @@
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
+#include "siskinspread/DrainRoute.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/KeyedRequests.h"
 #include "siskinspread/LogCloser.h"
@@ -17,6 +18,7 @@
 #include "siskinspread/PeerCalls.h"
 #include "siskinspread/PeerDirectory.h"
 #include "siskinspread/PlainRequests.h"
+#include "siskinspread/PlannedStop.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/RequestSize.h"
 #include "siskinspread/ServerChannel.h"
@@ -197,7 +199,7 @@
     {
         while (const auto event = m_peerCallers.next()) {
             const auto* request = std::get_if<IncomingRequest>(event.get());
-            if (request && !m_peerCalls.handle(*request) && !m_keyed.handlePeer(*request) && !m_operators.handle(*request)) {
+            if (request && !m_peerCalls.handle(*request) && !m_keyed.handlePeer(*request) && !m_operators.handle(*request) && !m_drain.handle(*request)) {
                 sendRefusal(m_context, m_peerCallers, request->exchange, "", { .code = ResultCode::UnknownPath });
             }
         }
@@ -218,16 +220,17 @@
 
     void advanceStop()
     {
-        if (!m_stopRequested.load(std::memory_order_acquire)) {
+        if (m_stopRequested.load(std::memory_order_acquire)) {
+            m_stop.request(StopCause::Signal);
+        }
+        if (!m_stop.hasBegun()) {
             return;
         }
         if (!m_routes.isDraining()) {
             m_routes.beginDraining();
             m_slices.release();
-            m_graceEnds = m_context.now + std::chrono::milliseconds { m_settings.drain().grace_ms() };
-            m_log.write({ .level = LogLevel::Info, .message = "planned stop begins", .fields = { { .name = "open_requests", .value = openRequests() } } });
         }
-        if (!m_closingBegan && (!openRequests() || m_context.now >= m_graceEnds)) {
+        if (!m_closingBegan && (!openRequests() || m_stop.isGraceOver())) {
             m_closingBegan = true;
             m_closingEnds = m_context.now + closingTime;
             m_leaveAt = m_context.now + lastWriteTime;
@@ -336,7 +339,8 @@
     MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
     SystemView m_system { m_context, m_membership, m_configuration };
     OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system } };
-    MonotonicTime m_graceEnds {};
+    PlannedStop m_stop { m_context, [this] { return openRequests(); } };
+    DrainRoute m_drain { m_context, m_stop };
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
     bool m_closingBegan { false };
--- /dev/null
+++ b/packages/decisions/src/DrainPlan.cpp
@@ -0,0 +1,56 @@
+#include "siskinspread/DrainPlan.h"
+
+#include <algorithm>
+
+namespace siskinspread {
+
+namespace {
+
+    bool moveEarlier(std::optional<MonotonicTime>& end, MonotonicTime candidate)
+    {
+        if (end && *end <= candidate) {
+            return false;
+        }
+        end = candidate;
+        return true;
+    }
+
+} // namespace
+
+bool planStop(DrainPlan& plan, const DrainOptions& options, MonotonicTime now)
+{
+    return moveEarlier(plan.graceEnds, now + options.grace);
+}
+
+bool planReclaim(DrainPlan& plan, const DrainOptions& options, MonotonicTime hostEnds, MonotonicTime now)
+{
+    const auto left = std::max(hostEnds - now, MonotonicTime::duration::zero());
+    const auto margin = std::min<MonotonicTime::duration>(options.closingMargin, left / 2);
+    moveEarlier(plan.hostEnds, hostEnds);
+    return moveEarlier(plan.graceEnds, now + left - margin);
+}
+
+bool isGraceOver(const DrainPlan& plan, MonotonicTime now)
+{
+    return plan.graceEnds && now >= *plan.graceEnds;
+}
+
+std::chrono::milliseconds graceLeft(const DrainPlan& plan, MonotonicTime now)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(plan.graceEnds.value_or(now) - now);
+    return std::max(left, std::chrono::milliseconds { 0 });
+}
+
+std::chrono::milliseconds timeLeft(const ReclaimNotice& notice, WallTime now)
+{
+    const auto byTheirClock = std::chrono::duration_cast<std::chrono::milliseconds>(notice.at + notice.lead - now);
+    const std::chrono::milliseconds lead = std::max(notice.lead, std::chrono::seconds { 0 });
+    return std::clamp(byTheirClock, std::chrono::milliseconds { 0 }, lead);
+}
+
+bool isAboutEarlierHost(const ReclaimNotice& notice, WallTime processStartedAt)
+{
+    return notice.at + notice.lead <= processStartedAt;
+}
+
+} // namespace siskinspread
--- a/packages/observability/include/siskinspread/Metrics.h
+++ b/packages/observability/include/siskinspread/Metrics.h
@@ -28,6 +28,12 @@
     Unavailable, /**< No answer, or one that says that the platform cannot answer. */
 };
 
+/** Whom a reclaim notice of the cloud API is about. */
+enum class NoticeSubject : uint8_t {
+    OwnHost,
+    OtherHost,
+};
+
 /** A ring between two threads of the daemon, named after its two ends. */
 enum class Ring : uint8_t {
     CallersToDecide,
@@ -93,6 +99,12 @@
     /** Sets the revision of the configuration in force. Thread safety: any thread. */
     void setConfigurationRevision(uint64_t revision);
 
+    /** Counts a reclaim notice that this host learned of for the first time. Thread safety: any thread. */
+    void countReclaimNotice(NoticeSubject subject);
+
+    /** Notes that the planned stop of this host has begun. Thread safety: any thread. */
+    void setDraining();
+
     /** @return all series in the text format of Prometheus, version 0.0.4. Thread safety: any thread. */
     std::string metricsText() const;
 
--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -28,6 +28,8 @@
         "platform_to_decide", "decide_to_platform", "peers_to_decide", "decide_to_peers"
     };
 
+    constexpr std::array<std::string_view, 2> noticeSubjectNames { "own_host", "other_host" };
+
     CounterFamily& counters(prometheus::Registry& registry, const prometheus::Labels& labels, const char* name, const char* help)
     {
         return prometheus::BuildCounter().Name(name).Help(help).Labels(labels).Register(registry);
@@ -55,6 +57,8 @@
         , ringRefusals(counters(registry, labels, "siskinspread_ring_refusals_total", "Messages refused because a ring between two threads was full."))
         , tokensDelivered(counters(registry, labels, "siskinspread_tokens_delivered_total", "Tokens passed on to callers, by service."))
         , tokensRecomputed(counters(registry, labels, "siskinspread_tokens_recomputed_total", "Tokens that backend servers had to compute again, by service."))
+        , reclaimNotices(counters(registry, labels, "siskinspread_reclaim_notices_total", "Reclaim notices of the cloud API, by whom they are about."))
+        , draining(gauge(registry, labels, "siskinspread_draining", "1 from the beginning of the planned stop of this host."))
         , openRequests(gauge(registry, labels, "siskinspread_open_requests", "Requests accepted and not yet ended."))
         , configurationRevision(gauge(registry, labels, "siskinspread_configuration_revision", "Revision of the configuration in force; 0 before the first."))
     {
@@ -83,6 +87,8 @@
     CounterFamily& ringRefusals;
     CounterFamily& tokensDelivered;
     CounterFamily& tokensRecomputed;
+    CounterFamily& reclaimNotices;
+    prometheus::Gauge& draining;
     prometheus::Gauge& openRequests;
     prometheus::Gauge& configurationRevision;
     std::mutex mutex; /**< Guards services. */
@@ -98,6 +104,9 @@
             m_series->retries.Add(label("reason", info.name));
         }
     }
+    for (std::string_view subject : noticeSubjectNames) {
+        m_series->reclaimNotices.Add(label("about", subject));
+    }
     for (std::string_view ring : ringNames) {
         m_series->ringRefusals.Add(label("ring", ring));
     }
@@ -155,6 +164,16 @@
     m_series->configurationRevision.Set(static_cast<double>(revision));
 }
 
+void Metrics::countReclaimNotice(NoticeSubject subject)
+{
+    m_series->reclaimNotices.Add(label("about", noticeSubjectNames.at(static_cast<size_t>(subject)))).Increment();
+}
+
+void Metrics::setDraining()
+{
+    m_series->draining.Set(1);
+}
+
 std::string Metrics::metricsText() const
 {
     return prometheus::TextSerializer {}.Serialize(m_series->registry.Collect());
