Wait with a planned stop for answers of owners at other hosts

A host that passes a keyed request on to its owner did not count it as open, so a planned stop of the host closed the caller's connection while the owner went on.

--- a/packages/daemon/include/siskinspread/KeyedRequests.h
+++ b/packages/daemon/include/siskinspread/KeyedRequests.h
@@ -34,6 +34,9 @@
     /** @return whether the request is one that another entry host passed on; it is then taken. */
     bool handlePeer(const IncomingRequest&);
 
+    /** @return callers' requests that wait for the answer of another host, the owner of their key. */
+    size_t relaysInProgress() const { return m_relays; }
+
 private:
     void answerCaller(ExchangeId, const AnswerRequest&);
     void relay(ExchangeId, const schema::PeerSettings& owner, const OwnedRequest&);
@@ -42,6 +45,7 @@
 
     HostContext& m_context;
     Parts m_parts;
+    size_t m_relays { 0 };
 };
 
 } // namespace siskinspread
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -241,7 +241,7 @@
 
     size_t openRequests() const
     {
-        return m_requests.openCount() + m_desk.openCount();
+        return m_requests.openCount() + m_desk.openCount() + m_keyed.relaysInProgress();
     }
 
     // Another host has closed the log: this incarnation can record nothing any more and makes way for a new one.
--- a/packages/daemon/src/KeyedRequests.cpp
+++ b/packages/daemon/src/KeyedRequests.cpp
@@ -152,7 +152,11 @@
 
 void KeyedRequests::relay(ExchangeId exchange, const schema::PeerSettings& owner, const OwnedRequest& request)
 {
-    m_context.peers.start(relayTransfer(owner, request), [this, exchange, request](const ClientEvent& event) { onRelayEnded(exchange, request, std::get<TransferEnded>(event)); });
+    ++m_relays;
+    m_context.peers.start(relayTransfer(owner, request), [this, exchange, request](const ClientEvent& event) {
+        --m_relays;
+        onRelayEnded(exchange, request, std::get<TransferEnded>(event));
+    });
 }
 
 void KeyedRequests::onRelayEnded(ExchangeId exchange, const OwnedRequest& request, const TransferEnded& ended)
