Read reclaim notices from the cloud API and stop in the time they give

The daemon did not read platform.cloud_api. Two hosts of each failure domain (rendezvous order of its live hosts) read the notices every second, the others every 30 s: 28 calls a second for 380 hosts, where every host every second would make 380. Readers pass notices on to the entry hosts that they name. A notice about the own host begins the planned stop or shortens its grace; one about another host is counted, logged and given to onNotice, which does nothing yet.

A notice whose end had passed when the process started is about an earlier host of that name and is ignored. Time left is never more than the lead, whatever the clocks say.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -12,6 +12,7 @@
 #include "siskinspread/LogWriter.h"
 #include "siskinspread/MembershipAdapter.h"
 #include "siskinspread/ModelRequests.h"
+#include "siskinspread/NoticeReader.h"
 #include "siskinspread/OperatorRoutes.h"
 #include "siskinspread/OwnerDesk.h"
 #include "siskinspread/PeerAccounts.h"
@@ -125,6 +126,7 @@
         m_writer.onEnded = [this](bool planned) { onLogEnded(planned); };
         m_configuration.start();
         m_membership.start();
+        m_notices.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
         while (!isFinished()) {
@@ -244,6 +246,17 @@
         return m_requests.openCount() + m_desk.openCount() + m_keyed.relaysInProgress();
     }
 
+    std::vector<std::string> domainHosts() const
+    {
+        std::vector<std::string> hosts;
+        for (const KnownIncarnation& known : m_membership.liveIncarnations()) {
+            if (known.failureDomain == m_settings.host().failure_domain()) {
+                hosts.push_back(known.host);
+            }
+        }
+        return hosts;
+    }
+
     // Another host has closed the log: this incarnation can record nothing any more and makes way for a new one.
     void onLogEnded(bool planned)
     {
@@ -341,6 +354,8 @@
     OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system } };
     PlannedStop m_stop { m_context, [this] { return openRequests(); } };
     DrainRoute m_drain { m_context, m_stop };
+    NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [](const std::string&, MonotonicTime) {} },
+        { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
     bool m_closingBegan { false };
--- /dev/null
+++ b/packages/platform/include/siskinspread/CloudApi.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "siskinspread/HttpClient.h"
+#include "siskinspread/LastReason.h"
+#include "siskinspread/ReclaimNotice.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinspread {
+
+/** Where the cloud API is and how long to wait for it. */
+struct CloudApiOptions {
+    std::string url; /**< http://IP:port; empty where there is none. */
+    std::chrono::milliseconds timeout { 1000 };
+};
+
+/** Builds the call that reads the notices after a sequence number. Thread safety: reentrant. */
+StartTransfer readReclaimNotices(const CloudApiOptions&, uint64_t after);
+
+/**
+ * @return the notices in the answer, ordered by sequence number; an entry that is malformed is left out.
+ * @param reason StoreUnavailable when there was no answer or it is no list. Thread safety: reentrant.
+ */
+std::optional<std::vector<ReclaimNotice>> reclaimNotices(const TransferEnded&, LastReason& reason);
+
+} // namespace siskinspread
