--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -2,12 +2,12 @@
 
 #include "support/Deployment.h"
 #include "support/Eventually.h"
+#include "support/Holds.h"
 
 #include <doctest/doctest.h>
 
 #include <csignal>
 #include <future>
-#include <optional>
 
 namespace siskinspread::testing {
 
@@ -15,108 +15,6 @@
 
     const DeploymentOptions twoDomains { .failureDomains = 2, .hostsPerFailureDomain = 2, .engines = 0, .ledgers = 1 };
 
-    HttpResponse hold(const Deployment& deployment, size_t host, const std::string& key, const std::string& body = R"({"item":"dolly"})")
-    {
-        return httpCall({ .method = "POST",
-            .url = deployment.host(host).url("/ledger/holds"),
-            .headers = { Deployment::authorization(), "Idempotency-Key: " + key, "X-Deadline-Ms: 10000" },
-            .body = body });
-    }
-
-    nlohmann::json errorOf(const HttpResponse& response)
-    {
-        return nlohmann::json::parse(response.body).at("error");
-    }
-
-    /** @return whether the answer is to come back: no owner after the start or a death, or another try in progress. */
-    bool isToComeBack(const HttpResponse& response)
-    {
-        const std::string code = response.header("x-result-code");
-        return code == "300" || code == "301" || code == "302" || code == "304" || code == "305";
-    }
-
-    /** Sends again while the answer is to come back. */
-    HttpResponse holdWhenOwned(const Deployment& deployment, size_t host, const std::string& key)
-    {
-        HttpResponse response;
-        eventually("an owner of " + key, [&] {
-            response = hold(deployment, host, key);
-            return response.status != 0 && !isToComeBack(response);
-        });
-        return response;
-    }
-
-    /** Like holdWhenOwned for a host that the test may kill: a connection that breaks ends it. */
-    HttpResponse holdUntilTaken(const Deployment& deployment, size_t host, const std::string& key)
-    {
-        HttpResponse response;
-        eventually("an owner of " + key, [&] {
-            response = hold(deployment, host, key);
-            return !isToComeBack(response);
-        });
-        return response;
-    }
-
-    int runs(Deployment& deployment, const std::string& key)
-    {
-        const auto counters = nlohmann::json::parse(httpCall({ .url = deployment.ledger(0).url("/control/runs") }).body);
-        return counters.value(key, 0);
-    }
-
-    /** @return the key's account as the asked host tells it, or nothing while it has none. */
-    std::optional<nlohmann::json> accountOf(const Deployment& deployment, size_t asked, const std::string& key)
-    {
-        const auto response = httpCall({ .url = deployment.host(asked).url("/accounts?key=" + key), .headers = { Deployment::authorization() } });
-        if (response.status != 200) {
-            return std::nullopt;
-        }
-        return nlohmann::json::parse(response.body);
-    }
-
-    /** @return the index of the host that recorded the account, or hostCount() where none of them did. */
-    size_t recorderOf(const Deployment& deployment, const nlohmann::json& account)
-    {
-        const auto recordedBy = account.value("recorded_by", "");
-        size_t recorder = 0;
-        while (recorder < deployment.hostCount() && !recordedBy.starts_with(deployment.host(recorder).name + ".")) {
-            ++recorder;
-        }
-        return recorder;
-    }
-
-    /** @return the index of the host that owns the key, once its account says so and counts at least the given attempts. */
-    size_t ownerOf(const Deployment& deployment, size_t asked, const std::string& key, int attempts = 0)
-    {
-        size_t owner = deployment.hostCount();
-        eventually("an account of " + key, [&] {
-            const auto account = accountOf(deployment, asked, key);
-            if (!account || account->value("attempts", 0) < attempts) {
-                return false;
-            }
-            owner = recorderOf(deployment, *account);
-            return owner < deployment.hostCount();
-        });
-        return owner;
-    }
-
-    /** Sends a hold that the ledger delays, waits until its owner has sent it on, and names the owner. */
-    struct HoldInFlight {
-        Deployment& deployment;
-        std::string key;
-        std::future<HttpResponse> response;
-        size_t owner { 0 };
-
-        HoldInFlight(Deployment& system, size_t host, std::string idempotencyKey)
-            : deployment(system)
-            , key(std::move(idempotencyKey))
-        {
-            holdWhenOwned(deployment, host, "warm-" + key); // the slices have owners from here on
-            deployment.ledger(0).setFaults(R"({"delay_ms":4000})");
-            response = std::async(std::launch::async, [this, host] { return holdUntilTaken(deployment, host, key); });
-            owner = ownerOf(deployment, host, key, 1);
-        }
-    };
-
 } // namespace
 
 TEST_CASE("the same key at two hosts at the same moment runs once and both get the same answer or word of the other")
@@ -189,11 +87,12 @@
 TEST_CASE("the owner is killed while the call runs: the second try does not run it, and its account says may have run")
 {
     Deployment deployment { twoDomains };
-    HoldInFlight inFlight { deployment, 0, "hold-5" };
+    prepareDelayedHolds(deployment);
+    DelayedHold inFlight { deployment, 0, "hold-5" };
     const size_t witness = (inFlight.owner + 1) % deployment.hostCount();
     deployment.host(inFlight.owner).process->kill();
     inFlight.response.wait();
-    deployment.ledger(0).setFaults(R"({"delay_ms":0})");
+    endDelay(deployment);
     const HttpResponse second = holdWhenOwned(deployment, witness, "hold-5");
     CAPTURE(second.body);
     CHECK(second.status == 502);
@@ -269,13 +168,14 @@
 TEST_CASE("a planned stop of the owner cuts off no hold in progress, and its slices move at once")
 {
     Deployment deployment { twoDomains };
-    HoldInFlight inFlight { deployment, 0, "hold-11" };
+    prepareDelayedHolds(deployment);
+    DelayedHold inFlight { deployment, 0, "hold-11" };
     deployment.host(inFlight.owner).process->sendSignal(SIGTERM);
     const HttpResponse response = inFlight.response.get();
     CAPTURE(response.body);
     CHECK(response.status == 200);
     CHECK(deployment.host(inFlight.owner).process->waitForEnd()->exitCode == 0);
-    deployment.ledger(0).setFaults(R"({"delay_ms":0})");
+    endDelay(deployment);
     const HttpResponse replay = holdWhenOwned(deployment, (inFlight.owner + 1) % deployment.hostCount(), "hold-11");
     CHECK(replay.status == 200);
     CHECK(runs(deployment, "hold-11") == 1);
--- a/tests/process/support/Deployment.cpp
+++ b/tests/process/support/Deployment.cpp
@@ -64,9 +64,15 @@
     return "http://127.0.0.1:" + std::to_string(callerPort) + path;
 }
 
+std::string EntryHost::peerUrl(const std::string& path) const
+{
+    return "http://127.0.0.1:" + std::to_string(peerPort) + path;
+}
+
 Deployment::Deployment(DeploymentOptions options)
     : m_options(std::move(options))
     , m_objectApi(std::make_unique<StandIn>("standin_object_api"))
+    , m_cloud(m_options.cloud ? std::make_unique<StandIn>("standin_cloud") : nullptr)
 {
     startEngines();
     startLedgers();
@@ -152,7 +158,7 @@
 {
     std::string text = "[host]\nname = " + quoted(host.name) + "\nfailure_domain = " + quoted(host.failureDomain)
         + "\n[listen]\naddress = \"127.0.0.1\"\ncaller_port = " + std::to_string(host.callerPort) + "\npeer_port = " + std::to_string(host.peerPort)
-        + "\nheartbeat_port = " + std::to_string(host.heartbeatPort) + "\n[platform]\nobject_api = \"http://" + m_objectApi->address() + "\"\n" + m_options.hostSettings + "\n";
+        + "\nheartbeat_port = " + std::to_string(host.heartbeatPort) + "\n[platform]\nobject_api = \"http://" + m_objectApi->address() + "\"\n" + (m_cloud ? "cloud_api = \"http://" + m_cloud->address() + "\"\n" : "") + m_options.hostSettings + "\n";
     for (const EntryHost& peer : m_hosts) {
         if (peer.name != host.name) {
             text += "[[peers]]\nname = " + quoted(peer.name) + "\nfailure_domain = " + quoted(peer.failureDomain)
@@ -162,6 +168,42 @@
     return text;
 }
 
+void Deployment::tellCloud() const
+{
+    if (!m_cloud) {
+        return;
+    }
+    auto hosts = nlohmann::json::array();
+    for (const EntryHost& host : m_hosts) {
+        hosts.push_back({ { "name", host.name }, { "class", "entry" }, { "failure_domain", host.failureDomain } });
+    }
+    for (size_t i = 0; i < m_ledgers.size(); ++i) {
+        hosts.push_back({ { "name", "ledger-" + std::to_string(i) }, { "class", "ledger" }, { "failure_domain", "ledgers" } });
+    }
+    httpCall({ .method = "POST", .url = m_cloud->url("/control/hosts"), .body = hosts.dump() });
+}
+
+void Deployment::giveNotice(const nlohmann::json& order) const
+{
+    const auto response = httpCall({ .method = "POST", .url = m_cloud->url("/control/notice"), .body = order.dump() });
+    if (response.status != 200) {
+        throw std::runtime_error("the cloud stand-in refused the notice: " + response.body);
+    }
+}
+
+std::pair<int, std::string> Deployment::control(std::vector<std::string> arguments) const
+{
+    ChildProcess client({ .program = (buildDirectory() / "packages" / "ctl" / "siskinctl").string(), .arguments = std::move(arguments), .errorFile = {} });
+    std::string line;
+    try {
+        line = client.readLine(std::chrono::seconds(60));
+    } catch (const std::runtime_error&) {
+        line.clear(); // it printed nothing
+    }
+    const auto end = client.waitForEnd();
+    return { end ? end->exitCode.value_or(-1) : -1, line };
+}
+
 bool Deployment::becomesReady(EntryHost& host)
 {
     bool ended = false;
@@ -179,6 +221,7 @@
 {
     for (int start = 0; start < maxStarts; ++start) {
         describeHosts();
+        tellCloud();
         for (EntryHost& host : m_hosts) {
             const auto settings = m_directory.path() / (host.name + ".toml");
             writeFile(settings, settingsText(host));
--- a/tests/process/support/Deployment.h
+++ b/tests/process/support/Deployment.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace siskinspread::testing {
@@ -18,6 +19,7 @@
     size_t hostsPerFailureDomain { 1 };
     size_t engines { 2 }; /**< Spread over the failure domains; each costs more than the one before. */
     size_t ledgers { 0 }; /**< Backend servers of the plain service "ledger", whose POST calls may not be repeated. */
+    bool cloud { false }; /**< Start the cloud API and let it know the entry hosts and the ledgers. */
     size_t customers { 1 };
     std::vector<std::string> engineArguments { "--between-tokens-ms", "2" };
     std::string serviceSettings {}; /**< TOML lines of the model service. */
@@ -38,6 +40,9 @@
 
     /** @return the URL of a path on the callers' port. */
     std::string url(const std::string& path) const;
+
+    /** @return the URL of a path on the port for peers and operators. */
+    std::string peerUrl(const std::string& path) const;
 };
 
 /**
@@ -59,8 +64,15 @@
     StandIn& engine(size_t index) { return *m_engines.at(index); }
     StandIn& ledger(size_t index) { return *m_ledgers.at(index); }
     const StandIn& ledger(size_t index) const { return *m_ledgers.at(index); }
+    StandIn& cloud() { return *m_cloud; }
     size_t engineCount() const { return m_engines.size(); }
 
+    /** Lets the cloud give notice; the order is that of the stand-in's /control/notice. */
+    void giveNotice(const nlohmann::json& order) const;
+
+    /** Runs siskinctl. @return its exit code and the first line of its output, empty without one. */
+    std::pair<int, std::string> control(std::vector<std::string> arguments) const;
+
     /** @return "Authorization: Bearer ..." of a customer. */
     static std::string authorization(size_t customer = 0);
 
@@ -77,6 +89,7 @@
     double metric(size_t host, const std::string& name, const std::string& label) const;
 
 private:
+    void tellCloud() const;
     void startEngines();
     void startLedgers();
     std::string ledgerText() const;
@@ -91,6 +104,7 @@
     const DeploymentOptions m_options;
     TempDirectory m_directory;
     std::unique_ptr<StandIn> m_objectApi;
+    std::unique_ptr<StandIn> m_cloud;
     std::vector<std::unique_ptr<StandIn>> m_engines;
     std::vector<std::unique_ptr<StandIn>> m_ledgers;
     std::vector<EntryHost> m_hosts;
