--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -5,18 +5,21 @@
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
+#include "siskinspread/DrainRoute.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/KeyedRequests.h"
 #include "siskinspread/LogCloser.h"
 #include "siskinspread/LogWriter.h"
 #include "siskinspread/MembershipAdapter.h"
 #include "siskinspread/ModelRequests.h"
+#include "siskinspread/NoticeReader.h"
 #include "siskinspread/OperatorRoutes.h"
 #include "siskinspread/OwnerDesk.h"
 #include "siskinspread/PeerAccounts.h"
 #include "siskinspread/PeerCalls.h"
 #include "siskinspread/PeerDirectory.h"
 #include "siskinspread/PlainRequests.h"
+#include "siskinspread/PlannedStop.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/RequestSize.h"
 #include "siskinspread/ServerChannel.h"
@@ -123,6 +126,7 @@
         m_writer.onEnded = [this](bool planned) { onLogEnded(planned); };
         m_configuration.start();
         m_membership.start();
+        m_notices.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
         while (!isFinished()) {
@@ -197,7 +201,7 @@
     {
         while (const auto event = m_peerCallers.next()) {
             const auto* request = std::get_if<IncomingRequest>(event.get());
-            if (request && !m_peerCalls.handle(*request) && !m_keyed.handlePeer(*request) && !m_operators.handle(*request)) {
+            if (request && !m_peerCalls.handle(*request) && !m_keyed.handlePeer(*request) && !m_operators.handle(*request) && !m_drain.handle(*request)) {
                 sendRefusal(m_context, m_peerCallers, request->exchange, "", { .code = ResultCode::UnknownPath });
             }
         }
@@ -218,19 +222,22 @@
 
     void advanceStop()
     {
-        if (!m_stopRequested.load(std::memory_order_acquire)) {
+        if (m_stopRequested.load(std::memory_order_acquire)) {
+            m_stop.request(StopCause::Signal);
+        }
+        if (!m_stop.hasBegun()) {
             return;
         }
         if (!m_routes.isDraining()) {
             m_routes.beginDraining();
             m_slices.release();
-            m_graceEnds = m_context.now + std::chrono::milliseconds { m_settings.drain().grace_ms() };
-            m_log.write({ .level = LogLevel::Info, .message = "planned stop begins", .fields = { { .name = "open_requests", .value = openRequests() } } });
         }
-        if (!m_closingBegan && (!openRequests() || m_context.now >= m_graceEnds)) {
+        if (!m_closingBegan && (!openRequests() || m_stop.isGraceOver())) {
             m_closingBegan = true;
             m_closingEnds = m_context.now + closingTime;
             m_leaveAt = m_context.now + lastWriteTime;
+            m_desk.expireAll();
+            m_keyed.expireRelays();
             m_writer.close();
             m_membership.leave();
         }
@@ -238,7 +245,18 @@
 
     size_t openRequests() const
     {
-        return m_requests.openCount() + m_desk.openCount();
+        return m_requests.openCount() + m_desk.openCount() + m_keyed.relaysInProgress();
+    }
+
+    std::vector<std::string> domainHosts() const
+    {
+        std::vector<std::string> hosts;
+        for (const KnownIncarnation& known : m_membership.liveIncarnations()) {
+            if (known.failureDomain == m_settings.host().failure_domain()) {
+                hosts.push_back(known.host);
+            }
+        }
+        return hosts;
     }
 
     // Another host has closed the log: this incarnation can record nothing any more and makes way for a new one.
@@ -335,7 +353,10 @@
     MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
     SystemView m_system { m_context, m_membership, m_configuration };
     OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system } };
-    MonotonicTime m_graceEnds {};
+    PlannedStop m_stop { m_context, [this] { return openRequests(); } };
+    DrainRoute m_drain { m_context, m_stop };
+    NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [](const std::string&, MonotonicTime) {} },
+        { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
     bool m_closingBegan { false };
