--- a/packages/common/include/siskinspread/ResultCode.h
+++ b/packages/common/include/siskinspread/ResultCode.h
@@ -31,6 +31,7 @@
     UnknownRequest = 108,
     SenderTooSlow = 110,
     UnknownPath = 111,
+    LastEventIdInvalid = 112,
 
     CustomerLimit = 200,
     PoolFull = 201,
@@ -58,6 +59,8 @@
     CallerGone = 405,
     Interrupted = 406,
     HandedOver = 407,
+    StreamNotAttachable = 408,
+    StreamAttachedElsewhere = 409,
 
     StoreUnavailable = 500,
     VersionConflict = 501,
