Hand open model answers over at a planned stop and let their callers attach again

Change: when the grace is over, StreamHandovers offers open model requests to live hosts, records the new id under the old one and then tells the caller; StreamAttach answers GET /v1/streams/ID at any host by passing on the answer of the host that holds the request. Ruled out, in docs/design/stream-handover.md: fetching the state at each attach, redirects, refusing the later of two callers. Cost: one more hop for each token of an attached stream; 4 s more at the longest for a planned stop.

--- a/packages/daemon/include/siskinspread/CallerResponse.h
+++ b/packages/daemon/include/siskinspread/CallerResponse.h
@@ -19,6 +19,9 @@
     constexpr const char* notRun = "X-Not-Run";
     constexpr const char* replayOf = "X-Replay-Of"; /**< The earlier request with the same key whose answer this is. */
     constexpr const char* responseNotKept = "X-Response-Not-Kept"; /**< The earlier answer was too large to keep. */
+    constexpr const char* attachId = "X-Attach-Id"; /**< The id with which the caller attaches again. */
+    constexpr const char* heldBy = "X-Held-By"; /**< Between hosts: this incarnation does not hold the request that is asked for. */
+    constexpr const char* relayCustomer = "X-Relay-Customer"; /**< Between hosts: the customer whose key was checked. */
     constexpr const char* lastEventId = "Last-Event-ID";
 }
 
@@ -28,6 +31,7 @@
     RunState runState { RunState::NotRun };
     std::optional<std::chrono::milliseconds> retryAfter; /**< Defaults to one second where the table says retryable. */
     std::string detail;
+    std::string attachId {}; /**< Id with which the caller attaches again; empty: it cannot. */
 };
 
 /** Retry-After of a retryable refusal whose decision gave none. */
--- a/packages/daemon/include/siskinspread/CallerRoutes.h
+++ b/packages/daemon/include/siskinspread/CallerRoutes.h
@@ -8,6 +8,7 @@
 #include "siskinspread/PlainRequests.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServicePools.h"
+#include "siskinspread/StreamAttach.h"
 #include "siskinspread/Target.h"
 
 #include <functional>
@@ -30,6 +31,7 @@
         KeyedRequests& keyed;
         const SliceKeeper& slices;
         AccountLookups& accounts;
+        StreamAttach& attach;
         const LogWriter& log;
     };
 
--- a/packages/daemon/include/siskinspread/RequestRegister.h
+++ b/packages/daemon/include/siskinspread/RequestRegister.h
@@ -5,6 +5,7 @@
 #include "siskinspread/LogWriter.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,12 @@
     /** Ends an open request and appends its account to the log. Ids that are not open are ignored. */
     void finish(const RequestId&, ResultCode, RunState);
 
+    /**
+     * Records that an open request goes on at another host as `newId`, where its account will be. It stays open here
+     * until `done` is called, which is when the record is durable or the log has ended. Ids that are not open are ignored.
+     */
+    void handOver(const RequestId&, const RequestId& newId, std::function<void()> done);
+
     /** @return what is known of an open request or of one whose account is being written. */
     std::optional<AccountAnswer> find(const RequestId&) const;
 
--- a/packages/daemon/src/CallerResponse.cpp
+++ b/packages/daemon/src/CallerResponse.cpp
@@ -37,6 +37,9 @@
     if (!refusal.detail.empty()) {
         error["detail"] = refusal.detail;
     }
+    if (!refusal.attachId.empty()) {
+        error["attach_id"] = refusal.attachId;
+    }
     if (const auto retryAfter = retryAfterOf(refusal)) {
         error["retry_after_ms"] = retryAfter->count();
     }
@@ -51,6 +54,9 @@
     response.headers.push_back({ .name = header::requestId, .value = requestId });
     response.headers.push_back({ .name = header::resultCode, .value = std::to_string(static_cast<int>(info.code)) });
     response.headers.push_back({ .name = header::runState, .value = std::string { runStateName(refusal.runState) } });
+    if (!refusal.attachId.empty()) {
+        response.headers.push_back({ .name = header::attachId, .value = refusal.attachId });
+    }
     if (const auto retryAfter = retryAfterOf(refusal)) {
         response.headers.push_back({ .name = "Retry-After", .value = retryAfterSeconds(*retryAfter) });
     }
--- a/packages/daemon/src/CallerRoutes.cpp
+++ b/packages/daemon/src/CallerRoutes.cpp
@@ -134,6 +134,10 @@
     if (refuseWork(request.exchange)) {
         return;
     }
+    if (target.path.starts_with(streamsPath) && request.method == "GET") {
+        m_parts.attach.accept(request, target.path.substr(streamsPath.size()), customer);
+        return;
+    }
     const auto left = timeLeft(request);
     if (!left) {
         return;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -22,6 +22,8 @@
 #include "siskinspread/ServerChannel.h"
 #include "siskinspread/ServicePools.h"
 #include "siskinspread/SliceKeeper.h"
+#include "siskinspread/StreamAttach.h"
+#include "siskinspread/StreamHandovers.h"
 #include "siskinspread/SystemView.h"
 #include "siskinspread/Timers.h"
 
@@ -57,9 +59,12 @@
         return { .url = settings.object_api(), .timeout = std::chrono::milliseconds { settings.timeout_ms() } };
     }
 
+    // A request that is handed over comes with its answer so far.
+    constexpr size_t answerBytes = 4U << 20;
+
     HttpServerOptions peerOptions(const schema::Settings& settings)
     {
-        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()) };
+        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()), .maxBodyBytes = 2 * settings.limits().max_body_bytes() + answerBytes };
     }
 
     ResultCode resultOf(ServerRefusal refusal)
@@ -187,7 +192,8 @@
                 m_routes.handle(*request);
             } else {
                 const ExchangeId exchange = std::get<ExchangeClosed>(*event).exchange;
-                m_models.callerClosed(exchange);
+                m_models.callerClosed(m_callers, exchange);
+                m_attach.callerClosed(exchange);
                 m_plain.callerClosed(exchange);
             }
         }
@@ -196,8 +202,11 @@
     void takePeerEvents()
     {
         while (const auto event = m_peerCallers.next()) {
+            if (const auto* closed = std::get_if<ExchangeClosed>(event.get())) {
+                m_models.callerClosed(m_peerCallers, closed->exchange);
+            }
             const auto* request = std::get_if<IncomingRequest>(event.get());
-            if (request && !m_peerCalls.handle(*request) && !m_keyed.handlePeer(*request) && !m_operators.handle(*request)) {
+            if (request && !m_peerCalls.handle(*request) && !m_handovers.handlePeer(*request) && !m_keyed.handlePeer(*request) && !m_operators.handle(*request)) {
                 sendRefusal(m_context, m_peerCallers, request->exchange, "", { .code = ResultCode::UnknownPath });
             }
         }
@@ -227,7 +236,11 @@
             m_graceEnds = m_context.now + std::chrono::milliseconds { m_settings.drain().grace_ms() };
             m_log.write({ .level = LogLevel::Info, .message = "planned stop begins", .fields = { { .name = "open_requests", .value = openRequests() } } });
         }
-        if (!m_closingBegan && (!openRequests() || m_context.now >= m_graceEnds)) {
+        if (!m_closingBegan && m_context.now >= m_graceEnds) {
+            m_handovers.begin();
+            m_attach.endAll();
+        }
+        if (!m_closingBegan && (!openRequests() || (m_context.now >= m_graceEnds && !m_handovers.isBusy()))) {
             m_closingBegan = true;
             m_closingEnds = m_context.now + closingTime;
             m_leaveAt = m_context.now + lastWriteTime;
@@ -238,7 +251,7 @@
 
     size_t openRequests() const
     {
-        return m_requests.openCount() + m_desk.openCount();
+        return m_requests.openCount() + m_desk.openCount() + m_attach.openCount();
     }
 
     // Another host has closed the log: this incarnation can record nothing any more and makes way for a new one.
@@ -258,7 +271,7 @@
         if (!m_closingBegan) {
             return false;
         }
-        const bool isClosed = m_writer.hasEnded() && !m_callers.hasWaiting() && m_context.now >= m_leaveAt;
+        const bool isClosed = m_writer.hasEnded() && !m_callers.hasWaiting() && !m_peerCallers.hasWaiting() && m_context.now >= m_leaveAt;
         return isClosed || m_context.now >= m_closingEnds;
     }
 
@@ -331,7 +344,9 @@
     PeerAccounts m_peerAccounts { m_context, m_peerCalls, [this](const AccountQuery& query) { return localAccount(query); } };
     AccountLookups m_accounts { m_context, m_timers, m_store, [this](const AccountQuery& query) { return localAccount(query); },
         [this](const IncarnationId& incarnation, const AccountQuery& query, PeerAccounts::Done done) { m_peerAccounts.ask(incarnation, query, std::move(done)); } };
-    CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .log = m_writer } };
+    StreamAttach m_attach { m_context, { .models = m_models, .requests = m_requests, .accounts = m_accounts } };
+    CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .attach = m_attach, .log = m_writer } };
+    StreamHandovers m_handovers { m_context, { .timers = m_timers, .models = m_models, .requests = m_requests, .peers = m_directory, .log = m_writer, .isDraining = [this] { return m_routes.isDraining(); } } };
     ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { m_pools.apply(configuration); } };
     MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
     SystemView m_system { m_context, m_membership, m_configuration };
--- a/packages/daemon/src/ModelAttempts.cpp
+++ b/packages/daemon/src/ModelAttempts.cpp
@@ -5,6 +5,8 @@
 #include "siskinspread/ChatRequest.h"
 #include "siskinspread/ModelAnswers.h"
 
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
@@ -17,6 +19,9 @@
 
 void ModelRequests::dispatch(ModelRequest& request)
 {
+    if (request.handingOver) {
+        return;
+    }
     ServicePool& pool = *request.pool;
     LastReason reason;
     const auto choice = chooseBackendServer(pool.view,
@@ -169,6 +174,7 @@
         }
     }
     ++request.tokensSent;
+    request.mostSent = std::max(request.mostSent, request.tokensSent);
     recordProgress(request.progress, 1, m_context.now);
     m_context.metrics.countTokensDelivered(request.pool->service.name(), 1);
     if (!request.streamed) {
@@ -177,7 +183,7 @@
     }
     startResponse(request);
     chunk["id"] = formatRequestId(request.id);
-    m_context.callers.send(SendChunk { .exchange = request.exchange, .data = tokenEvent(request.tokensSent, chunk) });
+    request.sink->send(SendChunk { .exchange = request.exchange, .data = tokenEvent(request.tokensSent, chunk) });
 }
 
 void ModelRequests::onEnded(ModelRequest& request, const TransferEnded& ended)
@@ -214,7 +220,7 @@
         .customer = request.customer,
         .repeatable = true,
         .resumable = true,
-        .attempts = request.attempts,
+        .attempts = request.attempts - request.attemptsBefore,
         .promptTokens = request.promptTokens,
         .tokensSent = request.tokensSent,
         .earlierRunState = request.runState,
@@ -236,9 +242,9 @@
         after = continuation.after;
         m_context.metrics.countTokensRecomputed(request.pool->service.name(), continuation.recomputedTokens);
     }
-    m_timers.schedule(m_context.now + after, [this, id = request.id] {
+    m_timers.schedule(m_context.now + after, [this, id = request.id, term = request.term] {
         ModelRequest* waiting = find(id);
-        if (waiting && waiting->backendServer.empty()) {
+        if (waiting && waiting->term == term && waiting->backendServer.empty()) {
             dispatch(*waiting);
         }
     });
--- a/packages/daemon/src/ModelRequests.cpp
+++ b/packages/daemon/src/ModelRequests.cpp
@@ -12,14 +12,25 @@
     constexpr size_t maxPrefixBlocks = 64;
     constexpr std::chrono::milliseconds leastAnswerTime { 50 };
 
-    /** What is known of a request that ends while an attempt may be in progress. */
-    RunState runStateNow(const ModelRequest& request)
-    {
-        return request.backendServer.empty() ? request.runState : RunState::MayHaveRun;
-    }
-
 } // namespace
 
+RunState runStateNow(const ModelRequest& request)
+{
+    return request.backendServer.empty() ? request.runState : RunState::MayHaveRun;
+}
+
+std::unique_ptr<ModelRequest> makeModelRequest(nlohmann::json body, std::shared_ptr<ServicePool> pool)
+{
+    auto request = std::make_unique<ModelRequest>();
+    const std::string prompt = promptText(body);
+    request->pool = std::move(pool);
+    request->streamed = body.value("stream", false);
+    request->blocks = prefixBlocks(prompt, prefixBlockTokens * bytesPerToken, maxPrefixBlocks);
+    request->promptTokens = static_cast<uint32_t>(prompt.size() / bytesPerToken + 1);
+    request->body = std::move(body);
+    return request;
+}
+
 ModelRequests::ModelRequests(HostContext& context, Timers& timers, ServicePools& pools, RequestRegister& requests)
     : m_context(context)
     , m_timers(timers)
@@ -41,26 +52,32 @@
         sendRefusal(m_context, m_context.callers, incoming.exchange, m_register.refusalId(), { .code = ResultCode::UnknownService, .detail = "no model has the name " + model });
         return;
     }
-    auto request = std::make_unique<ModelRequest>();
+    auto request = makeModelRequest(std::move(body), service->second);
+    request->sink = &m_context.callers;
     request->exchange = incoming.exchange;
-    request->pool = service->second;
     request->customer = customer;
-    request->streamed = body.value("stream", false);
-    const std::string prompt = promptText(body);
-    request->blocks = prefixBlocks(prompt, prefixBlockTokens * bytesPerToken, maxPrefixBlocks);
-    request->promptTokens = static_cast<uint32_t>(prompt.size() / bytesPerToken + 1);
     request->deadline = m_context.now + timeLeft;
-    request->body = std::move(body);
     request->id = m_register.accept(customer, model);
     ModelRequest& accepted = *request;
-    m_byExchange.emplace(accepted.exchange, accepted.id);
-    m_requests.emplace(accepted.id, std::move(request));
-    m_timers.schedule(accepted.deadline, [this, id = accepted.id] {
-        if (ModelRequest* late = find(id)) {
+    m_byExchange.emplace(std::pair { accepted.sink, accepted.exchange }, accepted.id);
+    open(std::move(request));
+    admit(accepted);
+}
+
+void ModelRequests::open(std::unique_ptr<ModelRequest> request)
+{
+    const RequestId id = request->id;
+    const MonotonicTime deadline = request->deadline;
+    m_requests.emplace(id, std::move(request));
+    m_timers.schedule(deadline, [this, id] {
+        ModelRequest* late = find(id);
+        if (late && late->sink) {
             giveUp(*late, { .code = ResultCode::DeadlineExpired, .runState = runStateNow(*late) });
+        } else if (late) {
+            m_register.finish(id, ResultCode::CallerGone, late->runState);
+            erase(id);
         }
     });
-    admit(accepted);
 }
 
 void ModelRequests::admit(ModelRequest& request)
@@ -112,7 +129,7 @@
         return;
     }
     request.responseStarted = true;
-    m_context.callers.send(streamHead(request.exchange, formatRequestId(request.id)));
+    request.sink->send(streamHead(request.exchange, formatRequestId(request.id)));
 }
 
 void ModelRequests::complete(ModelRequest& request)
@@ -120,58 +137,93 @@
     const ModelAnswerEnd end { .requestId = formatRequestId(request.id), .model = request.pool->service.name(), .finishReason = request.finishReason, .usage = request.usage };
     if (request.streamed) {
         startResponse(request);
-        m_context.callers.send(SendChunk { .exchange = request.exchange, .data = endEvents(end) });
-        m_context.callers.send(EndStream { .exchange = request.exchange });
+        request.sink->send(SendChunk { .exchange = request.exchange, .data = endEvents(end) });
+        request.sink->send(EndStream { .exchange = request.exchange });
     } else {
-        m_context.callers.send(wholeAnswer(request.exchange, end, request.text));
+        request.sink->send(wholeAnswer(request.exchange, end, request.text));
     }
     m_register.finish(request.id, ResultCode::Ok, RunState::Ran);
     erase(request.id);
 }
 
-void ModelRequests::giveUp(ModelRequest& request, const Refusal& refusal)
+void ModelRequests::tellCaller(ModelRequest& request, const Refusal& refusal)
 {
     const std::string id = formatRequestId(request.id);
-    if (request.responseStarted) {
-        m_context.metrics.countRefusal(refusal.code);
-        m_context.callers.send(SendChunk { .exchange = request.exchange, .data = errorEvent(refusalJson(id, refusal)) });
-        m_context.callers.send(EndStream { .exchange = request.exchange });
-    } else {
-        sendRefusal(m_context, m_context.callers, request.exchange, id, refusal);
+    if (!request.responseStarted) {
+        sendRefusal(m_context, *request.sink, request.exchange, id, refusal);
+        return;
+    }
+    m_context.metrics.countRefusal(refusal.code);
+    request.sink->send(SendChunk { .exchange = request.exchange, .data = errorEvent(refusalJson(id, refusal)) });
+    request.sink->send(EndStream { .exchange = request.exchange });
+}
+
+void ModelRequests::giveUp(ModelRequest& request, const Refusal& refusal)
+{
+    tellCaller(request, refusal);
+    if (request.handedOverFrom && !request.handingOver && resultInfo(refusal.code).retryable) {
+        park(request); // the caller comes back with the id
+        return;
     }
     m_register.finish(request.id, refusal.code, refusal.runState);
     erase(request.id);
 }
 
-void ModelRequests::callerClosed(ExchangeId exchange)
+void ModelRequests::callerClosed(const ResponseSink& sink, ExchangeId exchange)
 {
-    const auto entry = m_byExchange.find(exchange);
+    const auto entry = m_byExchange.find({ &sink, exchange });
     if (entry == m_byExchange.end()) {
         return;
     }
     const RequestId id = entry->second;
-    const ModelRequest* request = find(id);
-    m_register.finish(id, ResultCode::CallerGone, runStateNow(*request));
+    ModelRequest& request = *find(id);
+    if (request.handedOverFrom) {
+        park(request);
+        return;
+    }
+    m_register.finish(id, ResultCode::CallerGone, runStateNow(request));
     erase(id);
 }
 
+void ModelRequests::dropCaller(ModelRequest& request)
+{
+    m_byExchange.erase({ request.sink, request.exchange });
+    request.sink = nullptr;
+    request.exchange = 0;
+    request.responseStarted = false;
+}
+
+// Those that are admitted in its place may end at once; the request itself is in no queue any more.
+void ModelRequests::release(ModelRequest& request)
+{
+    request.runState = runStateNow(request);
+    ++request.term;
+    m_context.backendServers.cancel(request.transfer);
+    request.transfer = 0;
+    closeAttempt(request);
+    ServicePool& pool = *request.pool;
+    if (!request.admitted) {
+        cancelWaiting(pool.admission, request.id.sequence);
+        return;
+    }
+    request.admitted = false;
+    AdmissionChanges changes;
+    finishRequest(pool.admission, pool.admissionOptions, request.customer, m_context.now, changes);
+    applyChanges(pool, changes);
+}
+
 // The request is destroyed last: those that are admitted in its place may come before this one in the map.
 void ModelRequests::erase(const RequestId& id)
 {
     const auto entry = m_requests.find(id);
     const std::unique_ptr<ModelRequest> request = std::move(entry->second);
     m_requests.erase(entry);
-    m_byExchange.erase(request->exchange);
-    m_context.backendServers.cancel(request->transfer);
-    closeAttempt(*request);
-    ServicePool& pool = *request->pool;
-    if (!request->admitted) {
-        cancelWaiting(pool.admission, id.sequence);
-        return;
+    if (request->handedOverFrom) {
+        m_takenOver.erase(*request->handedOverFrom);
+        m_handedOverBytes -= request->handedOverBytes;
     }
-    AdmissionChanges changes;
-    finishRequest(pool.admission, pool.admissionOptions, request->customer, m_context.now, changes);
-    applyChanges(pool, changes);
+    dropCaller(*request);
+    release(*request);
 }
 
 ModelRequest* ModelRequests::find(const RequestId& id)
@@ -180,4 +232,10 @@
     return entry == m_requests.end() ? nullptr : entry->second.get();
 }
 
+const ModelRequest* ModelRequests::find(const RequestId& id) const
+{
+    const auto entry = m_requests.find(id);
+    return entry == m_requests.end() ? nullptr : entry->second.get();
+}
+
 } // namespace siskinspread
--- a/packages/daemon/src/RequestRegister.cpp
+++ b/packages/daemon/src/RequestRegister.cpp
@@ -67,6 +67,24 @@
     m_log.append(std::move(account), [this, id](bool, ResultCode) { m_recording.erase(id); });
 }
 
+void RequestRegister::handOver(const RequestId& id, const RequestId& newId, std::function<void()> done)
+{
+    if (!m_open.contains(id)) {
+        return;
+    }
+    m_log.append(HandedOverEntry { .request = id, .as = newId }, [this, id, newId, done = std::move(done)](bool, ResultCode) {
+        const auto entry = m_open.find(id);
+        if (entry == m_open.end()) {
+            return; // it ended meanwhile
+        }
+        m_context.metrics.changeOpenRequests(-1);
+        m_context.metrics.countRequest(entry->second.service, ResultCode::HandedOver);
+        m_context.log.write({ .level = LogLevel::Info, .message = "request handed over", .requestId = id, .code = ResultCode::HandedOver, .fields = { { .name = "new_id", .value = formatRequestId(newId) } } });
+        m_open.erase(entry);
+        done();
+    });
+}
+
 std::optional<AccountAnswer> RequestRegister::find(const RequestId& id) const
 {
     AccountAnswer answer;
