Join the status of backend servers to the daemon

BackendServerStatus was tested alone: the daemon took every configured server for live and none for loaded. Now BackendStatusAdapter probes the servers of its domain that it observes, shares observations with their load and leave signs in heartbeats of their own, and sets status, reachability, load and the number of entry hosts in the pools' views. BackendTraffic, between the request handlers and the client, tells which servers answered and which said that they leave, so that the handlers stay as they are.

Own traffic makes a joining server live; the first id of a run that was reached before anyone knew it is not a new run. A starting host uses joining servers for 5 s, and later while their pool has no live one.

--- /dev/null
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "siskinspread/BackendNews.h"
+#include "siskinspread/BackendServerStatus.h"
+#include "siskinspread/HeartbeatChannel.h"
+#include "siskinspread/HostContext.h"
+#include "siskinspread/MembershipAdapter.h"
+#include "siskinspread/ServicePools.h"
+#include "siskinspread/Timers.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace siskinspread {
+
+/**
+ * Joins the decision about backend servers to their load reports, to the other hosts and to the pools' views.
+ *
+ * News goes to other hosts in heartbeats. A host that has just got its first configuration uses joining servers too until
+ * it has had time to hear of all; from then on a joining server is used only while its pool has no live one.
+ * Thread safety: decide thread only.
+ */
+class BackendStatusAdapter {
+public:
+    struct Parts {
+        Timers& timers;
+        TransferStarter& probes; /**< To the backend servers, without BackendTraffic. */
+        DatagramSender& heartbeats;
+        ServicePools& pools;
+        const MembershipAdapter& membership;
+    };
+
+    BackendStatusAdapter(HostContext&, Parts);
+
+    /** Begins to probe and to share. */
+    void start();
+
+    /** Takes the configuration that the pools have just put in force. */
+    void configured(const schema::Configuration&);
+
+    /** Takes news from another host that came in a datagram of this size. */
+    void hear(const schema::BackendNewsMessage&, size_t bytes);
+
+    /** A backend server at this "ADDRESS:PORT" answered a request of this host with these headers. */
+    void answered(const std::string& address, const HttpHeaders&);
+
+    /**
+     * Takes a sign that a run of a backend server leaves, such as the cloud's notice; it gets no new work from then on and
+     * the other hosts are told. Unknown servers are ignored.
+     * @param instance the run; empty for the one that runs now, which may not be known before the first probe.
+     */
+    void leaveSign(const std::string& server, const ServerInstance& instance = {});
+
+    /** @return "joining", "live", "unreachable", "leaving" or "gone". */
+    std::string_view stateName(const std::string& server) const;
+
+private:
+    void tick();
+    void updateObservers();
+    void take(const BackendServerEvent&);
+    void act(const ProbeServer&);
+    void act(const ShareObservations&);
+    void act(const ShareLeave&);
+    void act(const ServerPhaseChanged&);
+    void onProbed(const std::string& server, MonotonicTime askedAt, const TransferEnded&);
+    void applyLoad(const std::string& server, const BackendLoadReport&);
+    void signEarlyLeave(const std::string& server);
+    void refreshViews();
+    void show(BackendServerView&) const;
+    uint32_t entryHostCount() const;
+    std::vector<ObservedServer> withLoads(const std::vector<ServerObservation>&) const;
+    std::vector<std::string> domainHosts() const;
+    void send(const std::string& host, const std::string& bytes);
+    template<typename Action> void forEachView(const std::string& server, Action action);
+
+    HostContext& m_context;
+    Parts m_parts;
+    const ServerStatusOptions m_options;
+    BackendServerStatusState m_state;
+    std::map<std::string, std::string> m_addresses; /**< By server. */
+    std::map<std::string, std::string> m_serversByAddress;
+    std::map<std::string, BackendLoadReport> m_loads; /**< Latest by server, from whomever. */
+    std::set<std::string> m_earlyLeaves; /**< Servers that leave and whose present run is not known yet. */
+    std::set<std::string> m_usable; /**< Servers that may get new work, at the last refresh of the views. */
+    std::optional<MonotonicTime> m_settledAt; /**< When this host has had time to hear of all servers. */
+    MonotonicTime m_nextObserversAt {};
+};
+
+} // namespace siskinspread
--- a/packages/daemon/include/siskinspread/CallerResponse.h
+++ b/packages/daemon/include/siskinspread/CallerResponse.h
@@ -17,6 +17,7 @@
     constexpr const char* deadline = "X-Deadline-Ms";
     constexpr const char* idempotencyKey = "Idempotency-Key";
     constexpr const char* notRun = "X-Not-Run";
+    constexpr const char* leaving = "X-Leaving"; /**< From a backend server that takes no more work: its instance. */
     constexpr const char* replayOf = "X-Replay-Of"; /**< The earlier request with the same key whose answer this is. */
     constexpr const char* responseNotKept = "X-Response-Not-Kept"; /**< The earlier answer was too large to keep. */
     constexpr const char* lastEventId = "Last-Event-ID";
--- a/packages/daemon/include/siskinspread/MembershipAdapter.h
+++ b/packages/daemon/include/siskinspread/MembershipAdapter.h
@@ -4,6 +4,7 @@
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/Membership.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -45,6 +46,12 @@
     /** @return all known processes, the dead and departed ones included, this one first. */
     std::vector<KnownIncarnation> knownIncarnations() const;
 
+    /** @return the host of each other failure domain that passes news on in it, as far as one is known. */
+    std::vector<std::string> otherRelays() const;
+
+    /** Called with news of backend servers that came in a heartbeat and the size of the datagram. */
+    std::function<void(const schema::BackendNewsMessage&, size_t bytes)> onBackendNews;
+
 private:
     void tick();
     void take(const MembershipEvent&);
@@ -52,7 +59,6 @@
     void send(const SendMembership&);
     void onChange(const MemberRecord&);
     void tellFeed();
-    std::vector<std::string> otherRelays() const;
 
     HostContext& m_context;
     Timers& m_timers;
--- a/packages/daemon/include/siskinspread/OperatorRoutes.h
+++ b/packages/daemon/include/siskinspread/OperatorRoutes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "siskinspread/AccountLookups.h"
+#include "siskinspread/BackendStatusAdapter.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServicePools.h"
@@ -23,6 +24,7 @@
         AccountLookups& accounts;
         std::function<std::vector<IncarnationId>(const IdempotencyKey&)> ownersOfKey; /**< Newest first. */
         const SystemView& system;
+        const BackendStatusAdapter& backendServers;
     };
 
     OperatorRoutes(HostContext&, Parts);
--- a/packages/daemon/include/siskinspread/ServicePools.h
+++ b/packages/daemon/include/siskinspread/ServicePools.h
@@ -39,7 +39,10 @@
 public:
     explicit ServicePools(HostContext&);
 
-    /** Puts a configuration in force. Requests in progress keep their pool. Precondition: it passed the checks. */
+    /**
+     * Puts a configuration in force. Requests in progress keep their pool. New servers are joining until
+     * BackendStatusAdapter, which has to be told of the configuration too, says otherwise. Precondition: it passed the checks.
+     */
     void apply(const schema::Configuration&);
 
     /** @return whether any configuration is in force. */
--- /dev/null
+++ b/packages/daemon/src/BackendStatusAdapter.cpp
@@ -0,0 +1,348 @@
+#include "siskinspread/BackendStatusAdapter.h"
+
+#include "siskinspread/CallerResponse.h"
+#include "siskinspread/PeerCalls.h"
+#include "siskinspread/ServerLoadReport.h"
+
+#include <algorithm>
+#include <array>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr std::chrono::milliseconds tickInterval { 200 };
+    constexpr std::chrono::milliseconds observersInterval { 1'000 };
+    // Two rounds of sharing and a lost datagram; the other hosts are known by then as well.
+    constexpr std::chrono::milliseconds settleTime { 5'000 };
+    // Below the probes' interval, so that a silent server does not hold up its next probe.
+    constexpr std::chrono::milliseconds probeTimeout { 800 };
+    constexpr size_t maxReportBytes = 65'536;
+    constexpr int statusOk = 200;
+    constexpr std::string_view unreachableName = "unreachable";
+
+    BackendStatus statusOf(ServerPhase phase)
+    {
+        switch (phase) {
+        case ServerPhase::Joining:
+            return BackendStatus::Joining;
+        case ServerPhase::Live:
+            return BackendStatus::Live;
+        case ServerPhase::Leaving:
+            return BackendStatus::Leaving;
+        case ServerPhase::Gone:
+            break;
+        }
+        return BackendStatus::Gone;
+    }
+
+    std::string_view nameOf(ServerPhase phase)
+    {
+        constexpr std::array<std::string_view, 4> names { "joining", "live", "leaving", "gone" };
+        return names.at(static_cast<size_t>(phase));
+    }
+
+    BackendLoadReport loadOf(const ServerLoadReport& report, MonotonicTime sampledAt)
+    {
+        return { .sampledAt = sampledAt, .running = report.running, .waiting = report.queued, .slots = report.slots, .queuedPromptTokens = report.queuedPromptTokens };
+    }
+
+} // namespace
+
+BackendStatusAdapter::BackendStatusAdapter(HostContext& context, Parts parts)
+    : m_context(context)
+    , m_parts(parts)
+{
+    m_state.self = m_context.incarnation.text;
+    m_state.selfDomain = m_context.settings.host().failure_domain();
+}
+
+void BackendStatusAdapter::start()
+{
+    tick();
+}
+
+void BackendStatusAdapter::tick()
+{
+    if (m_context.now >= m_nextObserversAt) {
+        m_nextObserversAt = m_context.now + observersInterval;
+        updateObservers();
+    }
+    take(ServersTick {});
+    refreshViews();
+    m_parts.timers.schedule(m_context.now + tickInterval, [this] { tick(); });
+}
+
+void BackendStatusAdapter::updateObservers()
+{
+    std::vector<std::string> hosts;
+    for (const KnownIncarnation& known : m_parts.membership.liveIncarnations()) {
+        if (known.failureDomain == m_state.selfDomain) {
+            hosts.push_back(known.incarnation.text);
+        }
+    }
+    std::sort(hosts.begin(), hosts.end());
+    if (hosts != m_state.observers) {
+        take(ObserversChanged { .hosts = std::move(hosts) });
+    }
+}
+
+void BackendStatusAdapter::configured(const schema::Configuration& configuration)
+{
+    ServersConfigured servers;
+    m_addresses.clear();
+    m_serversByAddress.clear();
+    for (const schema::Service& service : configuration.services()) {
+        for (const schema::BackendServer& server : service.backend_servers()) {
+            servers.servers.push_back({ .name = server.name(), .pool = service.pool(), .failureDomain = server.failure_domain() });
+            m_addresses[server.name()] = server.address();
+            m_serversByAddress[server.address()] = server.name();
+        }
+    }
+    const auto isUnknown = [this](const auto& name) { return !m_addresses.contains(name); };
+    std::erase_if(m_loads, [&](const auto& item) { return isUnknown(item.first); });
+    std::erase_if(m_earlyLeaves, isUnknown);
+    if (!m_settledAt) {
+        m_settledAt = m_context.now + settleTime;
+    }
+    take(servers);
+    refreshViews();
+    m_parts.pools.refresh();
+}
+
+void BackendStatusAdapter::hear(const schema::BackendNewsMessage& news, size_t bytes)
+{
+    m_context.metrics.countBackendNews(NewsDirection::Received, bytes);
+    const bool fromOtherDomain = news.failure_domain() != m_state.selfDomain;
+    for (const ObservedServer& observed : observationsOf(news, m_context.now)) {
+        const std::string& server = observed.observation.server;
+        if (observed.load && m_addresses.contains(server)) {
+            applyLoad(server, *observed.load);
+        }
+        take(ObservationHeard { .observation = observed.observation, .fromOtherDomain = fromOtherDomain });
+        signEarlyLeave(server);
+    }
+    for (const schema::BackendLeaveMessage& leave : news.leaves()) {
+        take(LeaveSign { .server = leave.server(), .instance = leave.instance() });
+    }
+}
+
+void BackendStatusAdapter::answered(const std::string& address, const HttpHeaders& headers)
+{
+    const auto server = m_serversByAddress.find(address);
+    if (server == m_serversByAddress.end()) {
+        return; // of an earlier configuration
+    }
+    take(TrafficReached { .server = server->second });
+    if (const auto instance = findHeader(headers, header::leaving)) {
+        leaveSign(server->second, std::string { *instance });
+    }
+}
+
+void BackendStatusAdapter::leaveSign(const std::string& server, const ServerInstance& instance)
+{
+    const auto known = m_state.servers.find(server);
+    if (known == m_state.servers.end()) {
+        return;
+    }
+    if (instance.empty() && known->second.instance.empty()) {
+        m_earlyLeaves.insert(server);
+    }
+    updateObservers(); // those that are told now are told for the only time
+    take(LeaveSign { .server = server, .instance = instance.empty() ? known->second.instance : instance });
+}
+
+// The run was not known when the sign came, so it is given again for the run that has shown itself.
+void BackendStatusAdapter::signEarlyLeave(const std::string& server)
+{
+    const auto known = m_state.servers.find(server);
+    if (known != m_state.servers.end() && !known->second.instance.empty() && m_earlyLeaves.erase(server)) {
+        updateObservers();
+        take(LeaveSign { .server = server, .instance = known->second.instance });
+    }
+}
+
+void BackendStatusAdapter::take(const BackendServerEvent& event)
+{
+    std::vector<ServerAction> actions;
+    step(m_state, m_options, event, m_context.now, actions);
+    for (const ServerAction& action : actions) {
+        std::visit([this](const auto& a) { act(a); }, action);
+    }
+}
+
+void BackendStatusAdapter::act(const ProbeServer& probe)
+{
+    StartTransfer transfer;
+    transfer.url = "http://" + m_addresses[probe.server] + "/load";
+    transfer.connectTimeout = probeTimeout;
+    transfer.totalTimeout = probeTimeout;
+    transfer.maxBodyBytes = maxReportBytes;
+    m_parts.probes.start(std::move(transfer), [this, server = probe.server, askedAt = m_context.now](const ClientEvent& event) {
+        if (const auto* ended = std::get_if<TransferEnded>(&event)) {
+            onProbed(server, askedAt, *ended);
+        }
+    });
+}
+
+void BackendStatusAdapter::onProbed(const std::string& server, MonotonicTime askedAt, const TransferEnded& ended)
+{
+    const bool answered = ended.end == TransferEnd::Complete;
+    const auto report = answered && ended.status == statusOk ? parseServerLoadReport(ended.body) : std::nullopt;
+    m_context.metrics.countBackendProbe(report ? ProbeOutcome::Reached : answered ? ProbeOutcome::Malformed
+                                                                                  : ProbeOutcome::Unreached);
+    if (!report || !m_addresses.contains(server)) {
+        take(ServerProbed { .server = server });
+        return;
+    }
+    if (report->leaving) {
+        take(LeaveSign { .server = server, .instance = report->instance }); // first, so that this run never counts as live
+    }
+    // What this host sent since it asked may not be in the report.
+    applyLoad(server, loadOf(*report, askedAt));
+    take(ServerProbed { .server = server, .instance = report->instance, .reachable = true, .load = report->running + report->queued });
+    signEarlyLeave(server);
+}
+
+void BackendStatusAdapter::applyLoad(const std::string& server, const BackendLoadReport& load)
+{
+    const auto known = m_loads.find(server);
+    if (known != m_loads.end() && known->second.sampledAt > load.sampledAt) {
+        return;
+    }
+    m_loads[server] = load;
+    forEachView(server, [&load](BackendServerView& view) { applyLoadReport(view, load); });
+}
+
+std::vector<ObservedServer> BackendStatusAdapter::withLoads(const std::vector<ServerObservation>& observations) const
+{
+    std::vector<ObservedServer> observed;
+    for (const ServerObservation& observation : observations) {
+        const auto load = m_loads.find(observation.server);
+        observed.push_back({ .observation = observation, .load = load == m_loads.end() ? std::nullopt : std::optional { load->second } });
+    }
+    return observed;
+}
+
+void BackendStatusAdapter::act(const ShareObservations& share)
+{
+    const NewsSender sender { .incarnation = m_state.self, .failureDomain = m_state.selfDomain };
+    const auto sendAll = [&](const std::vector<std::string>& hosts, const std::vector<ServerObservation>& observations) {
+        for (const std::string& datagram : observationDatagrams(sender, withLoads(observations), m_context.now)) {
+            for (const std::string& host : hosts) {
+                send(host, datagram);
+            }
+        }
+    };
+    sendAll(domainHosts(), share.observations);
+    sendAll(m_parts.membership.otherRelays(), share.forOtherDomains);
+}
+
+void BackendStatusAdapter::act(const ShareLeave& share)
+{
+    const std::string datagram = leaveDatagram({ .incarnation = m_state.self, .failureDomain = m_state.selfDomain }, { .server = share.server, .instance = share.instance });
+    for (const std::string& host : share.hosts) {
+        send(hostOf({ host }), datagram);
+    }
+}
+
+std::vector<std::string> BackendStatusAdapter::domainHosts() const
+{
+    std::vector<std::string> hosts;
+    for (const std::string& incarnation : m_state.observers) {
+        if (incarnation != m_state.self) {
+            hosts.push_back(hostOf({ incarnation }));
+        }
+    }
+    return hosts;
+}
+
+void BackendStatusAdapter::send(const std::string& host, const std::string& bytes)
+{
+    const schema::PeerSettings* peer = findPeer(m_context.settings, host);
+    if (!peer) {
+        return;
+    }
+    auto datagram = std::make_unique<Datagram>(Datagram { .address = peer->address() + ":" + std::to_string(peer->heartbeat_port()), .bytes = bytes });
+    if (m_parts.heartbeats.trySend(datagram)) {
+        m_context.metrics.countBackendNews(NewsDirection::Sent, bytes.size());
+    } else {
+        m_context.metrics.countRingRefusal(Ring::DecideToPeers); // sharing repeats what was lost
+    }
+}
+
+void BackendStatusAdapter::act(const ServerPhaseChanged& change)
+{
+    const ServerState& server = m_state.servers.at(change.server);
+    m_context.log.write({ .level = LogLevel::Info, .message = "a backend server changed", .fields = { { .name = "backend_server", .value = change.server }, { .name = "instance", .value = server.instance }, { .name = "state", .value = std::string { nameOf(change.phase) } } } });
+    // At once, not at the next refresh: a server that leaves gets nothing more, and each new run begins with slow start.
+    forEachView(change.server, [&](BackendServerView& view) { setBackendStatus(view, statusOf(change.phase), m_context.now); });
+}
+
+void BackendStatusAdapter::refreshViews()
+{
+    std::set<std::string> pools;
+    for (const auto& [name, server] : m_state.servers) {
+        pools.insert(server.spec.pool);
+    }
+    m_usable.clear();
+    for (const std::string& pool : pools) {
+        RoutableServers routable = routableServers(m_state, m_options, pool, m_context.now);
+        m_usable.insert(routable.servers.begin(), routable.servers.end());
+    }
+    for (const auto& [name, pool] : m_parts.pools.services()) {
+        pool->view.entryHosts = entryHostCount();
+        for (BackendServerView& view : pool->view.servers) {
+            show(view);
+        }
+    }
+}
+
+void BackendStatusAdapter::show(BackendServerView& view) const
+{
+    const auto known = m_state.servers.find(view.description.name);
+    if (known == m_state.servers.end()) {
+        return; // no longer configured
+    }
+    const ServerPhase phase = known->second.phase;
+    const bool isUsable = m_usable.contains(view.description.name);
+    if (phase == ServerPhase::Joining) {
+        const bool isTried = isUsable || !m_settledAt || m_context.now < *m_settledAt;
+        setBackendStatus(view, isTried ? BackendStatus::Live : BackendStatus::Joining, m_context.now);
+        view.reachable = true;
+        return;
+    }
+    setBackendStatus(view, statusOf(phase), m_context.now);
+    view.reachable = phase != ServerPhase::Live || isUsable;
+}
+
+// Before it has heard of the others, a starting host would take itself for the only one.
+uint32_t BackendStatusAdapter::entryHostCount() const
+{
+    if (!m_settledAt || m_context.now < *m_settledAt) {
+        return static_cast<uint32_t>(m_context.settings.peers_size()) + 1;
+    }
+    return static_cast<uint32_t>(m_parts.membership.liveIncarnations().size());
+}
+
+std::string_view BackendStatusAdapter::stateName(const std::string& server) const
+{
+    const auto known = m_state.servers.find(server);
+    if (known == m_state.servers.end()) {
+        return nameOf(ServerPhase::Gone);
+    }
+    const bool isLive = known->second.phase == ServerPhase::Live;
+    return isLive && isJudgedUnreachable(m_state, m_options, known->second, m_context.now) ? unreachableName : nameOf(known->second.phase);
+}
+
+template<typename Action>
+void BackendStatusAdapter::forEachView(const std::string& server, Action action)
+{
+    for (const auto& [name, pool] : m_parts.pools.services()) {
+        if (BackendServerView* view = findBackendServer(pool->view, server)) {
+            action(*view);
+        }
+    }
+}
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/daemon/src/BackendTraffic.cpp
@@ -0,0 +1,51 @@
+#include "siskinspread/BackendTraffic.h"
+
+#include <memory>
+#include <utility>
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr std::string_view schemeEnd = "://";
+
+    std::string addressOf(const std::string& url)
+    {
+        const size_t scheme = url.find(schemeEnd);
+        const size_t begin = scheme == std::string::npos ? 0 : scheme + schemeEnd.size();
+        return url.substr(begin, url.find('/', begin) - begin);
+    }
+
+} // namespace
+
+struct BackendTraffic::Watched {
+    std::string address;
+    TransferHandler handler;
+};
+
+// Shared, because the router copies a handler for each event.
+TransferId BackendTraffic::start(StartTransfer&& transfer, TransferHandler handler)
+{
+    auto watched = std::make_shared<const Watched>(Watched { .address = addressOf(transfer.url), .handler = std::move(handler) });
+    return m_next.start(std::move(transfer), [this, watched = std::move(watched)](const ClientEvent& event) {
+        tell(*watched, event);
+        watched->handler(event);
+    });
+}
+
+void BackendTraffic::tell(const Watched& watched, const ClientEvent& event) const
+{
+    if (!onAnswer) {
+        return;
+    }
+    if (const auto* headers = std::get_if<TransferHeaders>(&event)) {
+        onAnswer(watched.address, headers->headers);
+        return;
+    }
+    const auto* ended = std::get_if<TransferEnded>(&event);
+    if (ended && ended->end == TransferEnd::Complete) {
+        onAnswer(watched.address, ended->headers);
+    }
+}
+
+} // namespace siskinspread
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "WakeSignal.h"
 #include "siskinspread/AccountLookups.h"
+#include "siskinspread/BackendStatusAdapter.h"
+#include "siskinspread/BackendTraffic.h"
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
@@ -121,8 +123,11 @@
         m_closer.sealCopies = [this](const SealCopies& action, CopyDesk::SealDone done) { m_copies.seal(action, std::move(done)); };
         m_copies.keepHolder(m_writer);
         m_writer.onEnded = [this](bool planned) { onLogEnded(planned); };
+        m_traffic.onAnswer = [this](const std::string& address, const HttpHeaders& headers) { m_backendStatus.answered(address, headers); };
+        m_membership.onBackendNews = [this](const schema::BackendNewsMessage& news, size_t bytes) { m_backendStatus.hear(news, bytes); };
         m_configuration.start();
         m_membership.start();
+        m_backendStatus.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
         while (!isFinished()) {
@@ -216,6 +221,12 @@
         m_timers.schedule(m_context.now + refreshInterval, [this] { scheduleRefresh(); });
     }
 
+    void enforce(const schema::Configuration& configuration)
+    {
+        m_pools.apply(configuration);
+        m_backendStatus.configured(configuration);
+    }
+
     void advanceStop()
     {
         if (!m_stopRequested.load(std::memory_order_acquire)) {
@@ -299,6 +310,7 @@
     ServerChannel m_callers { callerServerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); }, [this](ServerRefusal why) { return refuseUnread(why); } };
     ServerChannel m_peerCallers { peerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
     TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers) };
+    BackendTraffic m_traffic { m_backendServers };
     TransferRouter m_platform { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPlatform) };
     TransferRouter m_peers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPeers) };
     HeartbeatChannel m_heartbeats { heartbeatOptions(m_settings), waker() };
@@ -308,7 +320,7 @@
         .seed = drawSeed(),
         .callers = m_callers,
         .peerCallers = m_peerCallers,
-        .backendServers = m_backendServers,
+        .backendServers = m_traffic,
         .platform = m_platform,
         .peers = m_peers,
         .metrics = m_metrics,
@@ -332,10 +344,11 @@
     AccountLookups m_accounts { m_context, m_timers, m_store, [this](const AccountQuery& query) { return localAccount(query); },
         [this](const IncarnationId& incarnation, const AccountQuery& query, PeerAccounts::Done done) { m_peerAccounts.ask(incarnation, query, std::move(done)); } };
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .log = m_writer } };
-    ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { m_pools.apply(configuration); } };
+    ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { enforce(configuration); } };
     MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
+    BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_heartbeats, .pools = m_pools, .membership = m_membership } };
     SystemView m_system { m_context, m_membership, m_configuration };
-    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system } };
+    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system, .backendServers = m_backendStatus } };
     MonotonicTime m_graceEnds {};
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
--- a/packages/daemon/src/MembershipAdapter.cpp
+++ b/packages/daemon/src/MembershipAdapter.cpp
@@ -82,9 +82,14 @@
 void MembershipAdapter::receive(const Datagram& datagram)
 {
     schema::HeartbeatMessage message;
-    if (message.ParseFromString(datagram.bytes)) {
-        takeMessage(message);
+    if (!message.ParseFromString(datagram.bytes)) {
+        return;
+    }
+    if (message.has_backend_news() && onBackendNews) {
+        onBackendNews(message.backend_news(), datagram.bytes.size());
+        return;
     }
+    takeMessage(message);
 }
 
 void MembershipAdapter::takeMessage(const schema::HeartbeatMessage& message)
--- a/packages/daemon/src/OperatorRoutes.cpp
+++ b/packages/daemon/src/OperatorRoutes.cpp
@@ -14,21 +14,6 @@
     constexpr int statusOk = 200;
     constexpr const char* jsonContentType = "application/json";
 
-    std::string_view statusName(BackendStatus status)
-    {
-        switch (status) {
-        case BackendStatus::Joining:
-            return "joining";
-        case BackendStatus::Live:
-            return "live";
-        case BackendStatus::Leaving:
-            return "leaving";
-        case BackendStatus::Gone:
-            break;
-        }
-        return "gone";
-    }
-
 } // namespace
 
 OperatorRoutes::OperatorRoutes(HostContext& context, Parts parts)
@@ -94,7 +79,11 @@
     nlohmann::json servers = nlohmann::json::array();
     for (const auto& [name, pool] : m_parts.pools.services()) {
         for (const BackendServerView& server : pool->view.servers) {
-            servers.push_back({ { "name", server.description.name }, { "pool", pool->service.pool() }, { "failure_domain", server.description.failureDomain }, { "state", statusName(server.status) }, { "open_requests", server.ownInFlight } });
+            nlohmann::json view { { "name", server.description.name }, { "pool", pool->service.pool() }, { "failure_domain", server.description.failureDomain }, { "state", m_parts.backendServers.stateName(server.description.name) }, { "open_requests", server.ownInFlight } };
+            if (server.report) {
+                view["reported_requests"] = server.report->running + server.report->waiting;
+            }
+            servers.push_back(std::move(view));
         }
     }
     nlohmann::json hosts = nlohmann::json::array();
--- a/packages/daemon/src/ServicePools.cpp
+++ b/packages/daemon/src/ServicePools.cpp
@@ -84,14 +84,13 @@
     pool.attempts.maximumAttempts = service.max_attempts();
     pool.progress.firstToken = std::chrono::milliseconds { service.progress_timeout_ms() };
     pool.progress.betweenTokens = std::chrono::milliseconds { service.progress_timeout_ms() };
-    pool.view.entryHosts = static_cast<uint32_t>(m_context.settings.peers_size()) + 1;
     pool.addresses.clear();
     for (const schema::BackendServer& server : service.backend_servers()) {
         const bool isNear = server.failure_domain() == m_context.settings.host().failure_domain();
         const size_t index = upsertBackendServer(pool.view,
             { .name = server.name(), .failureDomain = server.failure_domain(), .pricePerHour = server.price_per_hour(), .oneWayDelay = isNear ? std::chrono::microseconds { 0 } : delayBetweenFailureDomains });
-        if (pool.view.servers[index].status == BackendStatus::Joining) {
-            setBackendStatus(pool.view.servers[index], BackendStatus::Live, m_context.now);
+        if (pool.view.servers[index].status == BackendStatus::Gone) {
+            setBackendStatus(pool.view.servers[index], BackendStatus::Joining, m_context.now); // kept: it may return
         }
         pool.addresses.emplace(server.name(), server.address());
     }
--- a/packages/daemon/tests/HostFixture.h
+++ b/packages/daemon/tests/HostFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/RpcOutcome.h"
 #include "siskinspread/Timers.h"
@@ -74,6 +75,22 @@
     std::vector<ServerCommand> commands;
 };
 
+/** Keeps the datagrams that a test looks at. */
+struct RecordedDatagrams final : DatagramSender {
+    bool trySend(std::unique_ptr<Datagram>& datagram) override
+    {
+        if (isFull) {
+            return false;
+        }
+        sent.push_back(std::move(*datagram));
+        datagram.reset();
+        return true;
+    }
+
+    bool isFull { false };
+    std::vector<Datagram> sent;
+};
+
 /** A host "a" of domain "one" with the peers "b" of its domain and "c" of domain "two". */
 struct HostFixture {
     HostFixture()
--- a/packages/daemon/tests/MembershipAdapterTest.cpp
+++ b/packages/daemon/tests/MembershipAdapterTest.cpp
@@ -11,21 +11,6 @@
 
 namespace {
 
-    struct RecordedDatagrams final : DatagramSender {
-        bool trySend(std::unique_ptr<Datagram>& datagram) override
-        {
-            if (isFull) {
-                return false;
-            }
-            sent.push_back(std::move(*datagram));
-            datagram.reset();
-            return true;
-        }
-
-        bool isFull { false };
-        std::vector<Datagram> sent;
-    };
-
     MemberRecord recordOf(const std::string& host, const std::string& domain, uint32_t number)
     {
         return { .address = "127.0.0.1:" + std::to_string(4000 + number), .host = host, .failureDomain = domain, .incarnation = host + ".1" };
--- a/packages/decisions/include/siskinspread/BackendServerStatus.h
+++ b/packages/decisions/include/siskinspread/BackendServerStatus.h
@@ -92,7 +92,7 @@
 /** Time passed; to be sent several times a second. */
 struct ServersTick { };
 
-using ServerEvent = std::variant<ServersConfigured, ObserversChanged, HostListRead, LeaveSign, ServerEnded, ServerProbed, ObservationHeard,
+using BackendServerEvent = std::variant<ServersConfigured, ObserversChanged, HostListRead, LeaveSign, ServerEnded, ServerProbed, ObservationHeard,
     TrafficReached, ServersTick>;
 
 struct ProbeServer {
@@ -171,7 +171,7 @@
  * see; whichever leave sign comes first takes an instance out for good.
  * Thread safety: safe while no other thread uses `state`.
  */
-void step(BackendServerStatusState& state, const ServerStatusOptions& options, const ServerEvent& event, MonotonicTime now,
+void step(BackendServerStatusState& state, const ServerStatusOptions& options, const BackendServerEvent& event, MonotonicTime now,
     std::vector<ServerAction>& actions);
 
 /**
--- a/packages/decisions/src/BackendServerStatus.cpp
+++ b/packages/decisions/src/BackendServerStatus.cpp
@@ -83,7 +83,10 @@
         void noteReached(ServerState& server, const ServerInstance& instance) const
         {
             const bool returns = server.phase == ServerPhase::Gone && !hasLeft(server, instance);
-            if (instance != server.instance || returns) {
+            const bool wasUnnamed = server.instance.empty() && server.phase == ServerPhase::Live && !hasLeft(server, instance);
+            if (wasUnnamed) {
+                server.instance = instance; // the run that own traffic had reached before anyone knew its id
+            } else if (instance != server.instance || returns) {
                 begin(server, instance);
             }
             server.reachedAt = now;
@@ -302,6 +305,9 @@
         {
             if (ServerState* server = find(traffic.server)) {
                 server->reachedAt = now;
+                if (server->phase == ServerPhase::Joining) {
+                    setPhase(*server, ServerPhase::Live);
+                }
             }
         }
 
@@ -324,7 +330,7 @@
 
 } // namespace
 
-void step(BackendServerStatusState& state, const ServerStatusOptions& options, const ServerEvent& event, MonotonicTime now,
+void step(BackendServerStatusState& state, const ServerStatusOptions& options, const BackendServerEvent& event, MonotonicTime now,
     std::vector<ServerAction>& actions)
 {
     std::visit(Stepper { state, options, now, actions }, event);
--- a/packages/decisions/tests/BackendServerStatusTest.cpp
+++ b/packages/decisions/tests/BackendServerStatusTest.cpp
@@ -48,7 +48,7 @@
 
         void blind(size_t hostIndex, bool isBlind) { isBlind ? static_cast<void>(m_blind.insert(hostIndex)) : static_cast<void>(m_blind.erase(hostIndex)); }
 
-        void dispatch(size_t index, const ServerEvent& event)
+        void dispatch(size_t index, const BackendServerEvent& event)
         {
             std::vector<ServerAction> actions;
             step(host(index), {}, event, m_now, actions);
@@ -114,7 +114,7 @@
 
         std::vector<BackendServerStatusState> m_hosts;
         std::vector<Server> m_servers;
-        std::deque<std::pair<size_t, ServerEvent>> m_messages;
+        std::deque<std::pair<size_t, BackendServerEvent>> m_messages;
         std::set<size_t> m_blind;
         MonotonicTime m_now { 1h };
     };
@@ -221,6 +221,30 @@
     CHECK(pair.routable(0) == 2);
 }
 
+TEST_CASE("own traffic makes a joining server live, and its first known run goes on as the same one")
+{
+    BackendServerStatusState state;
+    state.self = "h0";
+    state.selfDomain = "d";
+    const auto phasesAfter = [&state](const BackendServerEvent& event) {
+        std::vector<ServerAction> actions;
+        step(state, {}, event, MonotonicTime { 1h }, actions);
+        std::vector<ServerPhase> phases;
+        for (const ServerAction& action : actions) {
+            if (const auto* change = std::get_if<ServerPhaseChanged>(&action)) {
+                phases.push_back(change->phase);
+            }
+        }
+        return phases;
+    };
+    const auto reached = [](const ServerInstance& instance) { return ObservationHeard { .observation = { .observer = "x", .sequence = instance == "run1" ? 1U : 2U, .server = "s0", .instance = instance, .reachable = true } }; };
+    CHECK(phasesAfter(ServersConfigured { .servers = { { .name = "s0", .pool = "p", .failureDomain = "d" } } }).empty());
+    CHECK(phasesAfter(TrafficReached { "s0" }) == std::vector { ServerPhase::Live });
+    CHECK(phasesAfter(reached("run1")).empty());
+    CHECK(state.servers.at("s0").instance == "run1");
+    CHECK(phasesAfter(reached("run2")) == std::vector { ServerPhase::Joining, ServerPhase::Live });
+}
+
 TEST_CASE("an observation that a later one of the same observer overtook is ignored")
 {
     Domain domain { 3, 1 };
--- a/packages/observability/include/siskinspread/Metrics.h
+++ b/packages/observability/include/siskinspread/Metrics.h
@@ -40,6 +40,19 @@
     DecideToPeers,
 };
 
+/** How a question for a backend server's load ended. */
+enum class ProbeOutcome : uint8_t {
+    Reached,
+    Unreached,
+    Malformed, /**< Something answered, but not with a load report; counts as unreached. */
+};
+
+/** Which way news of backend servers went. */
+enum class NewsDirection : uint8_t {
+    Sent,
+    Received,
+};
+
 /** Options of the metrics of a process; host and failure domain become labels of every series. */
 struct MetricsOptions {
     std::string host {};
@@ -84,6 +97,12 @@
     /** Counts a message that a full ring refused. Thread safety: any thread. */
     void countRingRefusal(Ring ring);
 
+    /** Counts a question for a backend server's load. Thread safety: any thread. */
+    void countBackendProbe(ProbeOutcome outcome);
+
+    /** Counts a datagram with news of backend servers and its bytes. Thread safety: any thread. */
+    void countBackendNews(NewsDirection direction, size_t bytes);
+
     /** Counts tokens that were passed on to a caller. Thread safety: any thread. */
     void countTokensDelivered(std::string_view service, uint64_t tokens);
 
--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -23,6 +23,10 @@
 
     constexpr std::array<std::string_view, 3> outcomeNames { "answered", "conflict", "unavailable" };
 
+    constexpr std::array<std::string_view, 3> probeNames { "reached", "unreached", "malformed" };
+
+    constexpr std::array<std::string_view, 2> directionNames { "sent", "received" };
+
     constexpr std::array<std::string_view, 8> ringNames {
         "callers_to_decide", "decide_to_callers", "backend_servers_to_decide", "decide_to_backend_servers",
         "platform_to_decide", "decide_to_platform", "peers_to_decide", "decide_to_peers"
@@ -53,6 +57,9 @@
         , requests(counters(registry, labels, "siskinspread_requests_total", "Requests that have their final result, by service and result."))
         , storeCalls(counters(registry, labels, "siskinspread_store_calls_total", "Calls to the platform, by purpose and outcome."))
         , ringRefusals(counters(registry, labels, "siskinspread_ring_refusals_total", "Messages refused because a ring between two threads was full."))
+        , backendProbes(counters(registry, labels, "siskinspread_backend_probes_total", "Questions for a backend server's load, by outcome."))
+        , backendNews(counters(registry, labels, "siskinspread_backend_news_total", "Datagrams with news of backend servers, by direction."))
+        , backendNewsBytes(counters(registry, labels, "siskinspread_backend_news_bytes_total", "Bytes of datagrams with news of backend servers, by direction."))
         , tokensDelivered(counters(registry, labels, "siskinspread_tokens_delivered_total", "Tokens passed on to callers, by service."))
         , tokensRecomputed(counters(registry, labels, "siskinspread_tokens_recomputed_total", "Tokens that backend servers had to compute again, by service."))
         , openRequests(gauge(registry, labels, "siskinspread_open_requests", "Requests accepted and not yet ended."))
@@ -81,6 +88,9 @@
     CounterFamily& requests;
     CounterFamily& storeCalls;
     CounterFamily& ringRefusals;
+    CounterFamily& backendProbes;
+    CounterFamily& backendNews;
+    CounterFamily& backendNewsBytes;
     CounterFamily& tokensDelivered;
     CounterFamily& tokensRecomputed;
     prometheus::Gauge& openRequests;
@@ -101,6 +111,13 @@
     for (std::string_view ring : ringNames) {
         m_series->ringRefusals.Add(label("ring", ring));
     }
+    for (std::string_view outcome : probeNames) {
+        m_series->backendProbes.Add(label("outcome", outcome));
+    }
+    for (std::string_view direction : directionNames) {
+        m_series->backendNews.Add(label("direction", direction));
+        m_series->backendNewsBytes.Add(label("direction", direction));
+    }
 }
 
 Metrics::~Metrics() = default;
@@ -140,6 +157,18 @@
     m_series->ringRefusals.Add(label("ring", ringNames.at(static_cast<size_t>(ring)))).Increment();
 }
 
+void Metrics::countBackendProbe(ProbeOutcome outcome)
+{
+    m_series->backendProbes.Add(label("outcome", probeNames.at(static_cast<size_t>(outcome)))).Increment();
+}
+
+void Metrics::countBackendNews(NewsDirection direction, size_t bytes)
+{
+    const prometheus::Labels labels = label("direction", directionNames.at(static_cast<size_t>(direction)));
+    m_series->backendNews.Add(labels).Increment();
+    m_series->backendNewsBytes.Add(labels).Increment(static_cast<double>(bytes));
+}
+
 void Metrics::countTokensDelivered(std::string_view service, uint64_t tokens)
 {
     m_series->tokensDelivered.Add(label("service", m_series->serviceLabel(service))).Increment(static_cast<double>(tokens));
--- a/tests/process/support/Deployment.cpp
+++ b/tests/process/support/Deployment.cpp
@@ -82,12 +82,24 @@
 void Deployment::startEngines()
 {
     for (size_t i = 0; i < m_options.engines; ++i) {
-        std::vector<std::string> arguments = m_options.engineArguments;
-        arguments.insert(arguments.end(), { "--name", "engine-" + std::to_string(i) });
-        m_engines.push_back(std::make_unique<StandIn>("standin_engine", std::move(arguments)));
+        m_engines.push_back(startEngine(i, 0));
     }
 }
 
+std::unique_ptr<StandIn> Deployment::startEngine(size_t index, uint16_t port) const
+{
+    std::vector<std::string> arguments = m_options.engineArguments;
+    arguments.insert(arguments.end(), { "--name", "engine-" + std::to_string(index) });
+    return std::make_unique<StandIn>("standin_engine", std::move(arguments), port);
+}
+
+void Deployment::restartEngine(size_t index)
+{
+    const std::string address = m_engines.at(index)->address();
+    m_engines[index]->process().kill();
+    m_engines[index] = startEngine(index, static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+}
+
 void Deployment::startLedgers()
 {
     for (size_t i = 0; i < m_options.ledgers; ++i) {
@@ -237,6 +249,18 @@
     return found;
 }
 
+nlohmann::json Deployment::backendServer(size_t host, const std::string& name) const
+{
+    const auto response = httpCall({ .url = "http://127.0.0.1:" + std::to_string(m_hosts.at(host).peerPort) + "/operator/status" });
+    const auto status = nlohmann::json::parse(response.body, nullptr, false);
+    for (const auto& server : status.is_object() ? status.value("backend_servers", nlohmann::json::array()) : nlohmann::json::array()) {
+        if (server.value("name", "") == name) {
+            return server;
+        }
+    }
+    return nlohmann::json::object();
+}
+
 double Deployment::metric(size_t host, const std::string& name, const std::string& label) const
 {
     const std::string text = httpCall({ .url = m_hosts.at(host).url("/metrics") }).body;
--- a/tests/process/support/Deployment.h
+++ b/tests/process/support/Deployment.h
@@ -59,6 +59,14 @@
     StandIn& engine(size_t index) { return *m_engines.at(index); }
     StandIn& ledger(size_t index) { return *m_ledgers.at(index); }
     const StandIn& ledger(size_t index) const { return *m_ledgers.at(index); }
+    const StandIn& engine(size_t index) const { return *m_engines.at(index); }
+
+    /** Kills an engine, if it still runs, and starts it anew at the same address. */
+    void restartEngine(size_t index);
+
+    /** @return what a host tells operators of a backend server, or an empty object. */
+    nlohmann::json backendServer(size_t host, const std::string& name) const;
+
     size_t engineCount() const { return m_engines.size(); }
 
     /** @return "Authorization: Bearer ..." of a customer. */
@@ -78,6 +86,7 @@
 
 private:
     void startEngines();
+    std::unique_ptr<StandIn> startEngine(size_t index, uint16_t port) const;
     void startLedgers();
     std::string ledgerText() const;
     void describeHosts();
--- a/tests/process/support/Programs.cpp
+++ b/tests/process/support/Programs.cpp
@@ -8,9 +8,9 @@
 namespace siskinspread::testing {
 namespace {
 
-    ProcessOptions standInOptions(const std::string& name, std::vector<std::string> arguments)
+    ProcessOptions standInOptions(const std::string& name, std::vector<std::string> arguments, uint16_t port)
     {
-        arguments.insert(arguments.begin(), { "--port", "0" });
+        arguments.insert(arguments.begin(), { "--port", std::to_string(port) });
         return { .program = standInProgram(name), .arguments = std::move(arguments), .errorFile = {} };
     }
 
@@ -26,8 +26,8 @@
     return (buildDirectory() / "tests" / "standins" / name).string();
 }
 
-StandIn::StandIn(const std::string& name, std::vector<std::string> arguments)
-    : m_process(standInOptions(name, std::move(arguments)))
+StandIn::StandIn(const std::string& name, std::vector<std::string> arguments, uint16_t port)
+    : m_process(standInOptions(name, std::move(arguments), port))
     , m_address(m_process.waitUntilListening())
 {
 }
--- a/tests/process/support/Programs.h
+++ b/tests/process/support/Programs.h
@@ -2,6 +2,7 @@
 
 #include "ChildProcess.h"
 
+#include <cstdint>
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -17,8 +18,8 @@
 /** A running stand-in. */
 class StandIn {
 public:
-    /** Starts the stand-in on a free port and waits until it listens. Throws std::runtime_error when it does not. */
-    explicit StandIn(const std::string& name, std::vector<std::string> arguments = {});
+    /** Starts the stand-in on a port, 0 for a free one, and waits until it listens. Throws std::runtime_error when it does not. */
+    explicit StandIn(const std::string& name, std::vector<std::string> arguments = {}, uint16_t port = 0);
 
     /** @return "127.0.0.1:PORT". */
     const std::string& address() const { return m_address; }
--- a/tests/standins/CommonFaults.cpp
+++ b/tests/standins/CommonFaults.cpp
@@ -1,5 +1,7 @@
 #include "CommonFaults.h"
 
+#include <cstdio>
+#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -59,4 +61,17 @@
     sendJson(responder, 503, { { "error", why } }, { { "X-Not-Run", "true" } });
 }
 
+void sendLeaving(const Responder& responder, const std::string& instance)
+{
+    sendJson(responder, 503, { { "error", "leaving" } }, { { "X-Not-Run", "true" }, { "X-Leaving", instance } });
+}
+
+std::string drawInstance(const std::string& name)
+{
+    std::random_device device;
+    char digits[9];
+    std::snprintf(digits, sizeof digits, "%08x", device());
+    return name + "." + digits;
+}
+
 } // namespace siskinspread::standin
--- a/tests/standins/CommonFaults.h
+++ b/tests/standins/CommonFaults.h
@@ -39,4 +39,10 @@
 /** Answers 503 with the header that says that the request was not run. */
 void sendNotRun(const Responder& responder, const std::string& why);
 
+/** Answers 503 with X-Not-Run and the instance that leaves in X-Leaving. */
+void sendLeaving(const Responder& responder, const std::string& instance);
+
+/** @return an id of this run of the stand-in, which differs from run to run. */
+std::string drawInstance(const std::string& name);
+
 } // namespace siskinspread::standin
--- a/tests/standins/Engine.cpp
+++ b/tests/standins/Engine.cpp
@@ -8,6 +8,7 @@
 
 Engine::Engine(EngineOptions options, EventLoop& loop)
     : m_options(std::move(options))
+    , m_instance(drawInstance(m_options.name))
     , m_loop(loop)
     , m_state { .checksFencing = m_options.checksFencing }
     , m_cache(m_options.cache)
@@ -19,7 +20,7 @@
 {
     if (m_faults.refuse || m_faults.leaving) {
         ++m_totals.refused;
-        sendNotRun(responder, m_faults.leaving ? "leaving" : "refused");
+        m_faults.leaving ? sendLeaving(responder, m_instance) : sendNotRun(responder, "refused");
         return;
     }
     auto run = std::make_shared<EngineRun>(EngineRun { .request = parseChatRequest(call, m_options.defaultTokens), .responder = responder });
--- a/tests/standins/Engine.h
+++ b/tests/standins/Engine.h
@@ -128,6 +128,7 @@
     std::chrono::microseconds slowed(std::chrono::microseconds time) const;
 
     EngineOptions m_options;
+    const std::string m_instance;
     EventLoop& m_loop;
     EngineFaults m_faults;
     EngineState m_state;
--- a/tests/standins/EngineApi.cpp
+++ b/tests/standins/EngineApi.cpp
@@ -129,7 +129,7 @@
 {
     const EngineLoad& load = m_load.published(Clock::now());
     sendJson(responder, 200,
-        { { "name", m_options.name }, { "failure_domain", m_options.failureDomain }, { "running", load.running },
+        { { "name", m_options.name }, { "instance", m_instance }, { "failure_domain", m_options.failureDomain }, { "running", load.running },
             { "queued", load.queued }, { "slots", m_options.slots }, { "cached_tokens", load.cachedTokens }, { "leaving", load.leaving } });
 }
 
--- a/tests/standins/Ledger.cpp
+++ b/tests/standins/Ledger.cpp
@@ -62,6 +62,7 @@
     public:
         Ledger(LedgerOptions options, EventLoop& loop)
             : m_options(std::move(options))
+            , m_instance(drawInstance(m_options.name))
             , m_loop(loop)
             , m_load(m_options.loadLag)
         {
@@ -81,6 +82,11 @@
         }
 
     private:
+        void sendRefusal(const Responder& responder) const
+        {
+            m_faults.leaving ? sendLeaving(responder, m_instance) : sendNotRun(responder, "refused");
+        }
+
         static bool isWritePath(const std::string& path)
         {
             return path == "/holds" || path == "/deposits" || path == "/orders";
@@ -94,7 +100,7 @@
                 return;
             }
             if (m_faults.refuse || m_faults.leaving) {
-                sendNotRun(responder, m_faults.leaving ? "leaving" : "refused");
+                sendRefusal(responder);
                 return;
             }
             ++m_records[key].pending;
@@ -144,7 +150,7 @@
         void sendStock(const std::string& item, const Responder& responder) const
         {
             if (m_faults.refuse || m_faults.leaving) {
-                sendNotRun(responder, m_faults.leaving ? "leaving" : "refused");
+                sendRefusal(responder);
                 return;
             }
             const uint64_t stock = XXH3_64bits(item.data(), item.size()) % stockModulus;
@@ -175,7 +181,7 @@
         {
             const LedgerLoad& load = m_load.published(std::chrono::steady_clock::now());
             sendJson(responder, 200,
-                { { "name", m_options.name }, { "failure_domain", m_options.failureDomain }, { "running", load.running },
+                { { "name", m_options.name }, { "instance", m_instance }, { "failure_domain", m_options.failureDomain }, { "running", load.running },
                     { "queued", 0 }, { "slots", m_options.slots }, { "leaving", load.leaving } });
         }
 
@@ -202,6 +208,7 @@
         }
 
         LedgerOptions m_options;
+        const std::string m_instance;
         EventLoop& m_loop;
         LedgerFaults m_faults;
         LaggedValue<LedgerLoad> m_load;
