--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "WakeSignal.h"
 #include "siskinspread/AccountLookups.h"
+#include "siskinspread/BackendStatusAdapter.h"
+#include "siskinspread/BackendTraffic.h"
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
@@ -129,9 +131,12 @@
         m_closer.sealCopies = [this](const SealCopies& action, CopyDesk::SealDone done) { m_copies.seal(action, std::move(done)); };
         m_copies.keepHolder(m_writer);
         m_writer.onEnded = [this](bool planned) { onLogEnded(planned); };
+        m_traffic.onAnswer = [this](const std::string& address, const HttpHeaders& headers) { m_backendStatus.answered(address, headers); };
+        m_membership.onBackendNews = [this](const schema::BackendNewsMessage& news, size_t bytes) { m_backendStatus.hear(news, bytes); };
         m_configuration.start();
         m_membership.start();
         m_notices.start();
+        m_backendStatus.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
         while (!isFinished()) {
@@ -229,6 +234,12 @@
         m_timers.schedule(m_context.now + refreshInterval, [this] { scheduleRefresh(); });
     }
 
+    void enforce(const schema::Configuration& configuration)
+    {
+        m_pools.apply(configuration);
+        m_backendStatus.configured(configuration);
+    }
+
     void advanceStop()
     {
         if (m_stopRequested.load(std::memory_order_acquire)) {
@@ -329,6 +340,7 @@
     ServerChannel m_callers { callerServerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); }, [this](ServerRefusal why) { return refuseUnread(why); } };
     ServerChannel m_peerCallers { peerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
     TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers) };
+    BackendTraffic m_traffic { m_backendServers };
     TransferRouter m_platform { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPlatform) };
     TransferRouter m_peers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPeers) };
     HeartbeatChannel m_heartbeats { heartbeatOptions(m_settings), waker() };
@@ -338,7 +350,7 @@
         .seed = drawSeed(),
         .callers = m_callers,
         .peerCallers = m_peerCallers,
-        .backendServers = m_backendServers,
+        .backendServers = m_traffic,
         .platform = m_platform,
         .peers = m_peers,
         .metrics = m_metrics,
@@ -364,13 +376,14 @@
     StreamAttach m_attach { m_context, { .models = m_models, .requests = m_requests, .accounts = m_accounts } };
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .attach = m_attach, .log = m_writer } };
     StreamHandovers m_handovers { m_context, { .timers = m_timers, .models = m_models, .requests = m_requests, .peers = m_directory, .log = m_writer, .isDraining = [this] { return m_routes.isDraining(); } } };
-    ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { m_pools.apply(configuration); } };
+    ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { enforce(configuration); } };
     MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
+    BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_heartbeats, .pools = m_pools, .membership = m_membership } };
     SystemView m_system { m_context, m_membership, m_configuration };
-    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system } };
+    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system, .backendServers = m_backendStatus } };
     PlannedStop m_stop { m_context, [this] { return openRequests(); } };
     DrainRoute m_drain { m_context, m_stop };
-    NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [](const std::string&, MonotonicTime) {} },
+    NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [this](const std::string& host, MonotonicTime) { m_backendStatus.leaveSign(host); } },
         { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
