Mend what engines may answer, bound the handover by a noticed end, split Daemon.cpp

- An engine that gave a text for a token's number ended the entry host (an exception of the JSON library on the decide thread); it ends the attempt now.
- An engine's own 4xx was tried again at every other engine; the caller is told at once, backend_rejected.
- Handing over took up to 4 s, also where the cloud had told an earlier end.
- The stand-in engine reorders chunks, rejects, and sends bad numbers on demand.

--- a/packages/common/include/siskinspread/ResultCode.h
+++ b/packages/common/include/siskinspread/ResultCode.h
@@ -62,6 +62,7 @@
     HandedOver = 407,
     StreamNotAttachable = 408,
     StreamAttachedElsewhere = 409,
+    BackendRejected = 410,
 
     StoreUnavailable = 500,
     VersionConflict = 501,
--- a/packages/common/src/ResultCode.cpp
+++ b/packages/common/src/ResultCode.cpp
@@ -47,6 +47,7 @@
         ResultInfo { ResultCode::HandedOver, "handed_over", 503, true, "The request was handed over to another host; attach again with the id that is given." },
         ResultInfo { ResultCode::StreamNotAttachable, "stream_not_attachable", 409, false, "The request has ended or is being answered to its first caller, so it can't be attached to." },
         ResultInfo { ResultCode::StreamAttachedElsewhere, "stream_attached_elsewhere", 409, false, "A later call with the request's id goes on with this answer." },
+        ResultInfo { ResultCode::BackendRejected, "backend_rejected", 400, false, "The backend server does not take the request as it is; sent again it would not be taken either." },
         ResultInfo { ResultCode::StoreUnavailable, "store_unavailable", 503, true, "The platform's object API did not answer." },
         ResultInfo { ResultCode::VersionConflict, "version_conflict", 409, false, "The object was changed by another writer." },
         ResultInfo { ResultCode::StaleRevision, "stale_revision", 409, false, "The configuration revision is older than the one in force." },
--- a/packages/daemon/include/siskinspread/PlannedStop.h
+++ b/packages/daemon/include/siskinspread/PlannedStop.h
@@ -31,6 +31,7 @@
 
     bool hasBegun() const { return m_plan.graceEnds.has_value(); }
     bool isGraceOver() const { return siskinspread::isGraceOver(m_plan, m_context.now); }
+    std::chrono::milliseconds handoverTime() const { return siskinspread::handoverTime(m_plan, m_options, m_context.now); }
     const DrainPlan& plan() const { return m_plan; }
     size_t openRequests() const { return m_openRequests(); }
 
--- a/packages/daemon/include/siskinspread/StreamHandovers.h
+++ b/packages/daemon/include/siskinspread/StreamHandovers.h
@@ -36,10 +36,10 @@
 
     StreamHandovers(HostContext&, Parts);
 
-    /** Begins to hand over all open model requests. Only the first call has an effect. */
-    void begin();
+    /** Begins to hand over all open model requests, for at most this time. Only the first call has an effect. */
+    void begin(std::chrono::milliseconds limit);
 
-    /** @return whether requests are on their way; false after a few seconds at the latest. */
+    /** @return whether requests are on their way; false after the limit at the latest. */
     bool isBusy() const { return !m_offers.empty(); }
 
     /** @return whether the request of a peer was one of these, which is then answered. */
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "siskinspread/Daemon.h"
 
+#include "DaemonOptions.h"
 #include "WakeSignal.h"
 #include "siskinspread/AccountLookups.h"
 #include "siskinspread/BackendStatusAdapter.h"
@@ -33,8 +34,6 @@
 #include "siskinspread/Timers.h"
 
 #include <algorithm>
-#include <cstdio>
-#include <random>
 
 namespace siskinspread {
 
@@ -46,64 +45,6 @@
     constexpr std::chrono::milliseconds closingTime { 5000 };
     constexpr std::chrono::milliseconds lastWriteTime { 200 };
 
-    uint64_t drawSeed()
-    {
-        std::random_device device;
-        return (static_cast<uint64_t>(device()) << 32) | device();
-    }
-
-    IncarnationId drawIncarnation(const std::string& host)
-    {
-        char digits[20];
-        std::snprintf(digits, sizeof digits, "%016llx", static_cast<unsigned long long>(drawSeed()));
-        return { host + "." + digits };
-    }
-
-    ObjectApiOptions storeOptions(const schema::PlatformSettings& settings)
-    {
-        return { .url = settings.object_api(), .timeout = std::chrono::milliseconds { settings.timeout_ms() } };
-    }
-
-    // A request that is handed over comes with its answer so far.
-    constexpr size_t answerBytes = 4U << 20;
-
-    HttpServerOptions peerOptions(const schema::Settings& settings)
-    {
-        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()), .maxBodyBytes = 2 * settings.limits().max_body_bytes() + answerBytes };
-    }
-
-    ResultCode resultOf(ServerRefusal refusal)
-    {
-        switch (refusal) {
-        case ServerRefusal::BodyTooLarge:
-            return ResultCode::BodyTooLarge;
-        case ServerRefusal::SenderTooSlow:
-            return ResultCode::SenderTooSlow;
-        case ServerRefusal::Malformed:
-            break;
-        }
-        return ResultCode::MalformedRequest;
-    }
-
-    HeartbeatChannelOptions heartbeatOptions(const schema::Settings& settings)
-    {
-        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().heartbeat_port()), .ringCapacity = settings.limits().ring_capacity() };
-    }
-
-    LogLevel logLevel(schema::LogSettings::Level level)
-    {
-        switch (level) {
-        case schema::LogSettings::DEBUG:
-            return LogLevel::Debug;
-        case schema::LogSettings::WARNING:
-            return LogLevel::Warning;
-        case schema::LogSettings::ERROR:
-            return LogLevel::Error;
-        default:
-            return LogLevel::Info;
-        }
-    }
-
 } // namespace
 
 class Daemon::Implementation {
@@ -253,7 +194,7 @@
             m_slices.release();
         }
         if (!m_closingBegan && m_stop.isGraceOver()) {
-            m_handovers.begin();
+            m_handovers.begin(m_stop.handoverTime());
             m_attach.endAll();
         }
         if (!m_closingBegan && (!openRequests() || (m_stop.isGraceOver() && !m_handovers.isBusy()))) {
--- a/packages/daemon/src/ModelAttempts.cpp
+++ b/packages/daemon/src/ModelAttempts.cpp
@@ -6,15 +6,41 @@
 #include "siskinspread/ModelAnswers.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace siskinspread {
 
 namespace {
 
     constexpr int statusOk = 200;
+    constexpr int statusFirstClientError = 400;
+    constexpr int statusFirstServerError = 500;
     constexpr const char* tokenIndexField = "siskinspread_token_index";
     constexpr const char* continueField = "siskinspread_continue_from";
 
+    /** @return the place of a chunk's token in the answer, `next` where the engine gives none, or nothing where it is no place. */
+    std::optional<uint32_t> tokenIndex(const nlohmann::json& chunk, uint32_t next)
+    {
+        const auto index = chunk.find(tokenIndexField);
+        if (index == chunk.end()) {
+            return next;
+        }
+        if (!index->is_number_unsigned() || index->get<uint64_t>() >= std::numeric_limits<uint32_t>::max()) {
+            return std::nullopt;
+        }
+        return index->get<uint32_t>();
+    }
+
+    /** @return whether the status says that the request is at fault, and not the server's load or state. */
+    bool isRejection(int status)
+    {
+        constexpr int requestTimeout = 408;
+        constexpr int conflict = 409;
+        constexpr int tooManyRequests = 429;
+        const bool isTemporary = status == requestTimeout || status == conflict || status == tooManyRequests;
+        return status >= statusFirstClientError && status < statusFirstServerError && !isTemporary;
+    }
+
 } // namespace
 
 void ModelRequests::dispatch(ModelRequest& request)
@@ -137,7 +163,7 @@
         complete(request);
         return;
     }
-    auto chunk = nlohmann::json::parse(data, nullptr, false);
+    auto chunk = parseChatBody(data);
     if (!chunk.is_object()) {
         return;
     }
@@ -158,16 +184,17 @@
 
 void ModelRequests::onToken(ModelRequest& request, nlohmann::json& chunk)
 {
-    const uint32_t index = chunk.value(tokenIndexField, request.positionInAttempt);
-    request.positionInAttempt = index + 1;
-    if (index < request.tokensSent) {
+    const auto index = tokenIndex(chunk, request.positionInAttempt);
+    if (index && *index < request.tokensSent) {
+        request.positionInAttempt = *index + 1;
         return; // a repeated chunk
     }
-    if (index > request.tokensSent) {
+    if (!index || *index > request.tokensSent) {
         m_context.backendServers.cancel(request.transfer);
         endAttempt(request, AttemptEnd::StreamBroken); // a chunk is missing: never a gap in the answer
         return;
     }
+    request.positionInAttempt = *index + 1;
     if (request.tokensSent == request.continuedFrom) {
         if (BackendServerView* server = findBackendServer(request.pool->view, request.backendServer)) {
             recordFirstToken(*server, request.pool->view.options, std::chrono::duration_cast<std::chrono::microseconds>(m_context.now - request.dispatchedAt), m_context.now);
@@ -194,7 +221,7 @@
     } else if (request.refusedNotRun && request.status != statusOk) {
         endAttempt(request, AttemptEnd::RefusedNotRun);
     } else if (ended.end == TransferEnd::Complete && request.status != statusOk) {
-        endAttempt(request, AttemptEnd::ErrorStatus);
+        endAttempt(request, isRejection(request.status) ? AttemptEnd::RequestRejected : AttemptEnd::ErrorStatus);
     } else {
         endAttempt(request, AttemptEnd::StreamBroken); // the end mark [DONE] never came
     }
--- a/packages/daemon/src/StreamHandovers.cpp
+++ b/packages/daemon/src/StreamHandovers.cpp
@@ -14,8 +14,6 @@
     // A body of the largest size over a busy network; a host that does not answer by then is passed over.
     constexpr std::chrono::milliseconds offerTimeout { 1500 };
     constexpr std::chrono::milliseconds newHostsInterval { 250 };
-    // With the default grace and the time for closing the log it stays below a notice of 30 seconds.
-    constexpr std::chrono::milliseconds handoverLimit { 4000 };
 
     StartTransfer offerTransfer(const schema::PeerSettings& peer, std::string body)
     {
@@ -57,7 +55,7 @@
     return handoverOrder(std::move(candidates), m_context.settings.host().failure_domain(), nextSeed(m_context));
 }
 
-void StreamHandovers::begin()
+void StreamHandovers::begin(std::chrono::milliseconds limit)
 {
     if (m_began) {
         return;
@@ -68,7 +66,7 @@
         m_waiting.push_back(id);
     }
     m_context.log.write({ .level = LogLevel::Info, .message = "handing over open model requests", .fields = { { .name = "requests", .value = m_offers.size() } } });
-    m_parts.timers.schedule(m_context.now + handoverLimit, [this] { endAll(); });
+    m_parts.timers.schedule(m_context.now + limit, [this] { endAll(); });
     sendWaiting();
 }
 
--- a/packages/decisions/include/siskinspread/AttemptPlan.h
+++ b/packages/decisions/include/siskinspread/AttemptPlan.h
@@ -19,6 +19,7 @@
     StreamBroken, /**< The connection ended after at least one byte was sent. */
     NoProgress, /**< The progress deadline passed. */
     ErrorStatus, /**< An error status without a word about running. */
+    RequestRejected, /**< The server found fault with the request itself: no other server would take it. */
     ServerLeaving, /**< This host moves the request off a server that is about to be reclaimed. */
 };
 
--- a/packages/decisions/include/siskinspread/DrainPlan.h
+++ b/packages/decisions/include/siskinspread/DrainPlan.h
@@ -16,6 +16,8 @@
      * answer is lost, the read that settles it, and the write again, each up to the platform's usual timeout of 1 s.
      */
     std::chrono::milliseconds closingMargin { 3'000 };
+    /** For handing over what is open when the grace is over; with the closing margin below a notice of 30 seconds. */
+    std::chrono::milliseconds handover { 4'000 };
 };
 
 /** A planned stop of this host. Plain data: the owner serialises access. */
@@ -43,6 +45,12 @@
 /** @return the time that open requests still get, zero when it is over. Precondition: the stop has begun. Reentrant. */
 std::chrono::milliseconds graceLeft(const DrainPlan& plan, MonotonicTime now);
 
+/**
+ * @return how long the requests that are open at the end of the grace may take to be handed over: `handover`, and at most
+ * half of the time to the end that a notice has told, so that the log can still be closed. Thread safety: reentrant.
+ */
+std::chrono::milliseconds handoverTime(const DrainPlan& plan, const DrainOptions& options, MonotonicTime now);
+
 /**
  * @return how long the host of a notice has left. Clocks may differ: never more than the lead, counted from now, and
  * never below zero. Thread safety: reentrant.
--- a/packages/decisions/src/AttemptPlan.cpp
+++ b/packages/decisions/src/AttemptPlan.cpp
@@ -31,7 +31,7 @@
 
     bool mayRunAgain(const EndedAttempt& attempt)
     {
-        return attempt.repeatable || runStateAfter(attempt) == RunState::NotRun;
+        return attempt.end != AttemptEnd::RequestRejected && (attempt.repeatable || runStateAfter(attempt) == RunState::NotRun);
     }
 
     bool needsContinuation(const EndedAttempt& attempt)
@@ -74,6 +74,8 @@
         return ResultCode::BackendNoProgress;
     case AttemptEnd::ErrorStatus:
         return ResultCode::BackendError;
+    case AttemptEnd::RequestRejected:
+        return ResultCode::BackendRejected;
     case AttemptEnd::StreamBroken:
     case AttemptEnd::ServerLeaving:
         break;
--- a/packages/decisions/src/DrainPlan.cpp
+++ b/packages/decisions/src/DrainPlan.cpp
@@ -41,6 +41,15 @@
     return std::max(left, std::chrono::milliseconds { 0 });
 }
 
+std::chrono::milliseconds handoverTime(const DrainPlan& plan, const DrainOptions& options, MonotonicTime now)
+{
+    if (!plan.hostEnds) {
+        return options.handover;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*plan.hostEnds - now) / 2;
+    return std::clamp(left, std::chrono::milliseconds { 0 }, options.handover);
+}
+
 std::chrono::milliseconds timeLeft(const ReclaimNotice& notice, WallTime now)
 {
     const auto byTheirClock = std::chrono::duration_cast<std::chrono::milliseconds>(notice.at + notice.lead - now);
--- a/packages/decisions/tests/AttemptPlanTest.cpp
+++ b/packages/decisions/tests/AttemptPlanTest.cpp
@@ -14,7 +14,7 @@
     EndedAttempt arbitraryAttempt()
     {
         return {
-            .end = *rc::gen::element(AttemptEnd::ConnectFailed, AttemptEnd::RefusedNotRun, AttemptEnd::StreamBroken, AttemptEnd::NoProgress, AttemptEnd::ErrorStatus, AttemptEnd::ServerLeaving),
+            .end = *rc::gen::element(AttemptEnd::ConnectFailed, AttemptEnd::RefusedNotRun, AttemptEnd::StreamBroken, AttemptEnd::NoProgress, AttemptEnd::ErrorStatus, AttemptEnd::RequestRejected, AttemptEnd::ServerLeaving),
             .customer = *rc::gen::element<std::string>("small", "large"),
             .repeatable = *rc::gen::arbitrary<bool>(),
             .resumable = *rc::gen::arbitrary<bool>(),
@@ -53,6 +53,7 @@
         const auto* retry = std::get_if<RetryElsewhere>(&plan);
         const auto after = retry != nullptr ? retry->after : std::get<ContinueElsewhere>(plan).after;
         RC_ASSERT(attempt.repeatable || isProvablyNotRun(attempt));
+        RC_ASSERT(attempt.end != AttemptEnd::RequestRejected);
         RC_ASSERT(attempt.attempts < options.maximumAttempts || attempt.end == AttemptEnd::ServerLeaving);
         RC_ASSERT(now + after + options.leastUsefulTime <= attempt.deadline);
         RC_ASSERT((retry == nullptr) == (attempt.tokensSent > 0));
--- a/packages/decisions/tests/DrainPlanTest.cpp
+++ b/packages/decisions/tests/DrainPlanTest.cpp
@@ -75,6 +75,17 @@
     }));
 }
 
+TEST_CASE("handing over takes its usual limit, and at most half of the time to a noticed end")
+{
+    DrainPlan plan;
+    planStop(plan, options, start);
+    CHECK(handoverTime(plan, options, start + 1h) == options.handover);
+    planReclaim(plan, options, start + 60s, start);
+    CHECK(handoverTime(plan, options, start + 30s) == options.handover);
+    CHECK(handoverTime(plan, options, start + 57s) == 1500ms);
+    CHECK(handoverTime(plan, options, start + 61s) == 0ms);
+}
+
 TEST_CASE("the time left of a notice is never more than its lead, whatever the clocks say")
 {
     const WallTime given { 1000000s };
--- a/tests/process/ModelStreamTest.cpp
+++ b/tests/process/ModelStreamTest.cpp
@@ -85,7 +85,7 @@
 {
     Deployment deployment { { .failureDomains = 1, .serviceSettings = shortProgressTimeout } };
     const std::string content = "five lamps";
-    for (const std::string fault : { R"({"break_after_tokens": 7})", R"({"silent_after_tokens": 7})", R"({"break_after_tokens": 0})", R"({"leaving": true})", R"({"refuse": true})", R"({"down": true})" }) {
+    for (const std::string fault : { R"({"break_after_tokens": 7})", R"({"silent_after_tokens": 7})", R"({"break_after_tokens": 0})", R"({"leaving": true})", R"({"refuse": true})", R"({"down": true})", R"({"reorder_chunks": true})", R"({"bad_token_index": true})" }) {
         CAPTURE(fault);
         Deployment fresh { { .failureDomains = 1, .serviceSettings = shortProgressTimeout } };
         fresh.engine(0).setFaults(fault);
@@ -95,6 +95,19 @@
     checkSecondAttempt(deployment, httpStream(deployment.chat(0, content, 15)), content, 15);
 }
 
+TEST_CASE("a request that an engine rejects is not sent to another, and the caller is told not to come back")
+{
+    Deployment deployment { { .failureDomains = 1 } };
+    for (size_t i = 0; i < deployment.engineCount(); ++i) {
+        deployment.engine(i).setFaults(R"({"reject_status": 422})");
+    }
+    const auto response = httpCall(deployment.chat(0, "seven stands", 5));
+    CHECK(response.status == 400);
+    CHECK(response.header("retry-after") == "");
+    CHECK(json::parse(response.body).at("error").at("name") == "backend_rejected");
+    CHECK(deployment.finalAccount(0, response.header("x-request-id")).at("attempts") == 1);
+}
+
 TEST_CASE("chunks that an engine repeats reach the caller once")
 {
     Deployment deployment { { .failureDomains = 1 } };
--- a/tests/standins/ChatRequest.cpp
+++ b/tests/standins/ChatRequest.cpp
@@ -74,7 +74,7 @@
     return request;
 }
 
-std::string tokenEvent(const ChatRequest& request, const std::string& completionId, uint64_t index)
+std::string tokenEvent(const ChatRequest& request, const std::string& completionId, uint64_t index, bool hasBadIndex)
 {
     nlohmann::json delta { { "content", answerToken(request.answer, index) } };
     if (index == request.continueFrom) {
@@ -82,7 +82,7 @@
     }
     const nlohmann::json choice { { "index", 0 }, { "delta", delta }, { "finish_reason", nullptr } };
     auto data = chunk(request, completionId, nlohmann::json::array({ choice }));
-    data["siskinspread_token_index"] = index;
+    data["siskinspread_token_index"] = hasBadIndex ? nlohmann::json("not a number") : nlohmann::json(index);
     data["siskinspread_emitted_us"] = monotonicMicroseconds();
     return event(data);
 }
--- a/tests/standins/ChatRequest.h
+++ b/tests/standins/ChatRequest.h
@@ -37,8 +37,8 @@
 /** @return the request; throws for a malformed body. `defaultTokens` is the answer's length without max_tokens. */
 ChatRequest parseChatRequest(const Call& call, uint64_t defaultTokens);
 
-/** @return the server-sent event of one token. */
-std::string tokenEvent(const ChatRequest& request, const std::string& completionId, uint64_t index);
+/** @return the server-sent event of one token, where asked with a text for its number. */
+std::string tokenEvent(const ChatRequest& request, const std::string& completionId, uint64_t index, bool hasBadIndex = false);
 
 /** @return the last events of a stream: the finish reason, the usage and the end mark. */
 std::string endEvents(const ChatRequest& request, const std::string& completionId, const ChatUsage& usage);
--- a/tests/standins/Engine.cpp
+++ b/tests/standins/Engine.cpp
@@ -1,6 +1,7 @@
 #include "Engine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinspread::standin {
 
@@ -23,6 +24,10 @@
         m_faults.leaving ? sendLeaving(responder, m_instance) : sendNotRun(responder, "refused");
         return;
     }
+    if (m_faults.rejectStatus) {
+        sendJson(responder, m_faults.rejectStatus, { { "error", "rejected" } });
+        return;
+    }
     auto run = std::make_shared<EngineRun>(EngineRun { .request = parseChatRequest(call, m_options.defaultTokens), .responder = responder });
     if (!servesModel(m_state, run->request.model)) {
         sendJson(responder, 404, { { "error", "model not loaded" } }, { { "X-Not-Run", "true" } });
@@ -112,12 +117,23 @@
     return m_faults.silentAfterTokens && run.emitted >= *m_faults.silentAfterTokens;
 }
 
+std::string Engine::chunksToSend(EngineRun& run) const
+{
+    constexpr uint64_t reorderEvery = 4;
+    const std::string event = tokenEvent(run.request, completionId(run), run.nextToken, m_faults.badTokenIndex);
+    if (m_faults.reorderChunks && run.nextToken % reorderEvery == 1) {
+        run.heldChunk = event;
+        return {};
+    }
+    const std::string held = std::exchange(run.heldChunk, {});
+    return (m_faults.duplicateChunks ? event + event : event) + held;
+}
+
 void Engine::emitToken(EngineRun& run)
 {
     if (run.request.isStream) {
         startStream(run);
-        const std::string event = tokenEvent(run.request, completionId(run), run.nextToken);
-        run.responder.write(m_faults.duplicateChunks ? event + event : event);
+        run.responder.write(chunksToSend(run));
     }
     ++run.nextToken;
     ++run.emitted;
--- a/tests/standins/Engine.h
+++ b/tests/standins/Engine.h
@@ -38,6 +38,9 @@
     bool refuse { false };
     bool leaving { false };
     bool duplicateChunks { false };
+    bool reorderChunks { false }; /**< Of each four chunks the second and third change places. */
+    bool badTokenIndex { false }; /**< Chunks carry a text for the number of their token. */
+    unsigned rejectStatus { 0 }; /**< Answer to every request, which is not run; 0 for none. */
     double slowFactor { 1 };
     std::optional<uint64_t> breakAfterTokens;
     std::optional<uint64_t> silentAfterTokens;
@@ -57,6 +60,7 @@
     Responder responder;
     ChatUsage usage {};
     bool isRunning { false };
+    std::string heldChunk {}; /**< To be sent after the next one. */
     bool isStreaming { false }; /**< Whether the head of a streamed answer was sent. */
     uint64_t nextToken { 0 };
     uint64_t emitted { 0 }; /**< Tokens that this run has produced. */
@@ -111,6 +115,7 @@
     uint64_t recomputedTokens(const ChatRequest& request) const;
     void produceToken(uint64_t number);
     bool interruptByFault(EngineRun& run);
+    std::string chunksToSend(EngineRun& run) const;
     void emitToken(EngineRun& run);
     void finish(const RunPointer& run);
     void startStream(EngineRun& run) const;
--- a/tests/standins/EngineApi.cpp
+++ b/tests/standins/EngineApi.cpp
@@ -162,6 +162,12 @@
         publishLoad();
     } else if (name == "duplicate_chunks") {
         m_faults.duplicateChunks = value.get<bool>();
+    } else if (name == "reorder_chunks") {
+        m_faults.reorderChunks = value.get<bool>();
+    } else if (name == "bad_token_index") {
+        m_faults.badTokenIndex = value.get<bool>();
+    } else if (name == "reject_status") {
+        m_faults.rejectStatus = value.get<unsigned>();
     } else if (name == "slow_factor") {
         m_faults.slowFactor = value.get<double>();
     } else if (name == "break_after_tokens") {
