Do not hold the peers to have ended after a pause of the own process

A process that wakes up after more than 5 s found that none of its peers had answered for that long, took them all for ended and closed their logs, and they stopped. Nothing ran twice, but one paused host could stop all the others.

Silence is now counted without the time by which the own question came late.

--- a/packages/daemon/include/siskinspread/PeerDirectory.h
+++ b/packages/daemon/include/siskinspread/PeerDirectory.h
@@ -43,12 +43,14 @@
 
     void askAll();
     void onIdentity(const std::string& host, const RpcOutcome&);
+    void excuseOwnPause();
     void judgeSilence();
     void markEnded(const IncarnationId&);
 
     HostContext& m_context;
     Timers& m_timers;
     PeerCalls& m_calls;
+    MonotonicTime m_nextAskAt {};
     std::map<std::string, Peer> m_peers;
     std::map<IncarnationId, MonotonicTime> m_expected; /**< Since when an answer is awaited. */
     std::set<IncarnationId> m_ended;
--- a/packages/daemon/src/PeerDirectory.cpp
+++ b/packages/daemon/src/PeerDirectory.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
@@ -33,16 +35,19 @@
 
 void PeerDirectory::start()
 {
+    m_nextAskAt = m_context.now;
     askAll();
 }
 
 void PeerDirectory::askAll()
 {
+    excuseOwnPause();
     for (const schema::PeerSettings& peer : m_context.settings.peers()) {
         m_calls.call(peer.name(), identityMethod, "", [this, host = peer.name()](const RpcOutcome& outcome) { onIdentity(host, outcome); });
     }
     judgeSilence();
-    m_timers.schedule(m_context.now + askInterval, [this] { askAll(); });
+    m_nextAskAt = m_context.now + askInterval;
+    m_timers.schedule(m_nextAskAt, [this] { askAll(); });
 }
 
 void PeerDirectory::onIdentity(const std::string& host, const RpcOutcome& outcome)
@@ -84,6 +89,21 @@
     m_expected.emplace(incarnation, m_context.now);
 }
 
+// A process that was paused has not asked meanwhile: the time in which it could not hear anybody is nobody's silence.
+void PeerDirectory::excuseOwnPause()
+{
+    const auto late = m_context.now - m_nextAskAt;
+    if (late <= askInterval) {
+        return;
+    }
+    for (auto& [host, peer] : m_peers) {
+        peer.answeredAt = std::min(peer.answeredAt + late, m_context.now);
+    }
+    for (auto& [incarnation, since] : m_expected) {
+        since = std::min(since + late, m_context.now);
+    }
+}
+
 void PeerDirectory::judgeSilence()
 {
     for (const auto& [host, peer] : m_peers) {
