--- a/packages/ctl/tests/DrainerTest.cpp
+++ b/packages/ctl/tests/DrainerTest.cpp
@@ -27,7 +27,7 @@
         {
             return { .perform = [this](const StartTransfer& transfer) {
                         methods.push_back(transfer.method);
-                        const TransferEnded answer = answers.front();
+                        TransferEnded answer = answers.front();
                         if (answers.size() > 1) {
                             answers.pop_front();
                         }
--- a/packages/daemon/tests/NoticeReaderTest.cpp
+++ b/packages/daemon/tests/NoticeReaderTest.cpp
@@ -96,9 +96,9 @@
 TEST_CASE_FIXTURE(NoticeFixture, "two hosts of a domain read every second, the others rarely, and a failing cloud API is asked less often")
 {
     const NoticeReadingOptions options;
-    std::vector<std::string> hosts;
-    for (int i = 0; i < 47; ++i) {
-        hosts.push_back("host-" + std::to_string(i));
+    std::vector<std::string> hosts(47);
+    for (size_t i = 0; i < hosts.size(); ++i) {
+        hosts[i] = "host-" + std::to_string(i);
     }
     CHECK(std::count_if(hosts.begin(), hosts.end(), [&](const std::string& host) { return isNoticeReader(host, hosts, options); }) == 2);
     CHECK(isNoticeReader("only", { "only" }, options));
--- a/tests/process/DrainTest.cpp
+++ b/tests/process/DrainTest.cpp
@@ -32,10 +32,10 @@
     {
         std::vector<std::string> arguments { "drain", "--output", "json", host.peerUrl("") };
         arguments.insert(arguments.end(), options.begin(), options.end());
-        const auto [code, line] = deployment.control(std::move(arguments));
-        CAPTURE(line);
-        CHECK(code == exitCode);
-        return nlohmann::json::parse(line);
+        const auto result = deployment.control(std::move(arguments));
+        CAPTURE(result.second);
+        CHECK(result.first == exitCode);
+        return nlohmann::json::parse(result.second);
     }
 
     /** Ends the process as the cloud does, unless it has stopped by itself in time. @return whether it had. */
