--- a/packages/decisions/tests/AtMostOnceModel.h
+++ b/packages/decisions/tests/AtMostOnceModel.h
@@ -41,6 +41,7 @@
     size_t triedAfterLoss { 0 }; /**< A later try of such a key that an owner of its slice answered. */
     size_t accountsAfterLoss { 0 }; /**< A final account of the request that held such a key. */
     size_t triedDuringTakeover { 0 };
+    size_t replaysNotAccounted { 0 }; /**< Told "ran" from the record of another try; accounted as not run by this one. */
     size_t supersededAnswers { 0 }; /**< An answer of an attempt that is not the current one, late or doubled. */
 };
 
--- a/packages/decisions/tests/AtMostOnceModelEnd.cpp
+++ b/packages/decisions/tests/AtMostOnceModelEnd.cpp
@@ -133,6 +133,12 @@
             violate("c: answered and accounted otherwise: " + formatRequestId(request));
         }
     }
+    if (answer.standing == AccountStanding::Final && answer.account.runState == RunState::NotRun && about.answer && about.answer->runState == RunState::Ran) {
+        ++m_coverage.replaysNotAccounted;
+        if (!about.answer->replayOf) {
+            violate("c: told ran, account not run: " + formatRequestId(request));
+        }
+    }
     if (answer.account.runState == RunState::NotRun && answer.standing != AccountStanding::NotFound && about.ran) {
         violate("b: account of " + formatRequestId(request) + " says not run");
     }
