--- a/packages/daemon/include/siskinspread/BackendStatusAdapter.h
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -20,7 +20,8 @@
  * Joins the decision about backend servers to their load reports, to the other hosts and to the pools' views.
  *
  * News goes to other hosts in heartbeats. A host that has just got its first configuration uses joining servers too until
- * it has had time to hear of all; from then on a joining server is used only while its pool has no live one.
+ * it has had time to hear of all. From then on a joining server of its own domain is used only while the pool has no
+ * live one, and one of another domain unless that domain says that it is not reached.
  * Thread safety: decide thread only.
  */
 class BackendStatusAdapter {
@@ -70,11 +71,13 @@
     void signEarlyLeave(const std::string& server);
     void refreshViews();
     void show(BackendServerView&) const;
+    bool mayBeLiveElsewhere(const ServerState&) const;
     uint32_t entryHostCount() const;
     std::vector<ObservedServer> withLoads(const std::vector<ServerObservation>&) const;
     std::vector<std::string> domainHosts() const;
     void send(const std::string& host, const std::string& bytes);
-    template<typename Action> void forEachView(const std::string& server, Action action);
+    template <typename Action>
+    void forEachView(const std::string& server, Action action);
 
     HostContext& m_context;
     Parts m_parts;
@@ -85,6 +88,7 @@
     std::map<std::string, BackendLoadReport> m_loads; /**< Latest by server, from whomever. */
     std::set<std::string> m_earlyLeaves; /**< Servers that leave and whose present run is not known yet. */
     std::set<std::string> m_usable; /**< Servers that may get new work, at the last refresh of the views. */
+    std::set<std::string> m_unreachable; /**< Live and joining servers that nobody reaches, at the same time. */
     std::optional<MonotonicTime> m_settledAt; /**< When this host has had time to hear of all servers. */
     MonotonicTime m_nextObserversAt {};
 };
--- a/packages/daemon/src/BackendStatusAdapter.cpp
+++ b/packages/daemon/src/BackendStatusAdapter.cpp
@@ -282,8 +282,13 @@
 void BackendStatusAdapter::refreshViews()
 {
     std::set<std::string> pools;
+    m_unreachable.clear();
     for (const auto& [name, server] : m_state.servers) {
         pools.insert(server.spec.pool);
+        const bool mayWork = server.phase == ServerPhase::Live || server.phase == ServerPhase::Joining;
+        if (mayWork && isJudgedUnreachable(m_state, m_options, server, m_context.now)) {
+            m_unreachable.insert(name);
+        }
     }
     m_usable.clear();
     for (const std::string& pool : pools) {
@@ -307,7 +312,7 @@
     const ServerPhase phase = known->second.phase;
     const bool isUsable = m_usable.contains(view.description.name);
     if (phase == ServerPhase::Joining) {
-        const bool isTried = isUsable || !m_settledAt || m_context.now < *m_settledAt;
+        const bool isTried = isUsable || !m_settledAt || m_context.now < *m_settledAt || mayBeLiveElsewhere(known->second);
         setBackendStatus(view, isTried ? BackendStatus::Live : BackendStatus::Joining, m_context.now);
         view.reachable = true;
         return;
@@ -316,6 +321,12 @@
     view.reachable = phase != ServerPhase::Live || isUsable;
 }
 
+// Other domains report changes and failures only, so that a host that has just started never hears of their live servers.
+bool BackendStatusAdapter::mayBeLiveElsewhere(const ServerState& server) const
+{
+    return server.spec.failureDomain != m_state.selfDomain && !m_unreachable.contains(server.spec.name);
+}
+
 // Before it has heard of the others, a starting host would take itself for the only one.
 uint32_t BackendStatusAdapter::entryHostCount() const
 {
@@ -331,11 +342,10 @@
     if (known == m_state.servers.end()) {
         return nameOf(ServerPhase::Gone);
     }
-    const bool isLive = known->second.phase == ServerPhase::Live;
-    return isLive && isJudgedUnreachable(m_state, m_options, known->second, m_context.now) ? unreachableName : nameOf(known->second.phase);
+    return m_unreachable.contains(server) ? unreachableName : nameOf(known->second.phase);
 }
 
-template<typename Action>
+template <typename Action>
 void BackendStatusAdapter::forEachView(const std::string& server, Action action)
 {
     for (const auto& [name, pool] : m_parts.pools.services()) {
--- a/packages/daemon/src/ServerLoadReport.cpp
+++ b/packages/daemon/src/ServerLoadReport.cpp
@@ -15,7 +15,7 @@
         Optional,
     };
 
-    template<typename Number>
+    template <typename Number>
     bool readNumber(const nlohmann::json& document, const char* name, uint64_t maximum, Presence presence, Number& number)
     {
         const auto member = document.find(name);
