Answer an observer that does not know of a leave

The rumour of a leave goes out once, to the hosts known then; a host that has just started and observes nothing may know none, and nothing repeated it. Ruled out: the stand-in's report (its load is published too late on purpose). Now a host that knows of the leave answers each later report of an observer that does not.

--- a/packages/decisions/include/siskinspread/BackendServerStatus.h
+++ b/packages/decisions/include/siskinspread/BackendServerStatus.h
@@ -103,7 +103,10 @@
     std::vector<ServerObservation> observations;
     std::vector<ServerObservation> forOtherDomains;
 };
-/** Send to these hosts of the domain at once; every host does so once for each instance, so that the news spreads like an epidemic. */
+/**
+ * Send to these hosts at once; every host does so once for each instance, so that the news spreads like an epidemic, and
+ * again to an observer whose report shows that it has not heard.
+ */
 struct ShareLeave {
     std::vector<std::string> hosts;
     std::string server;
--- a/packages/decisions/src/BackendServerStatus.cpp
+++ b/packages/decisions/src/BackendServerStatus.cpp
@@ -276,6 +276,7 @@
             if (known != server->evidence.end() && observation.sequence <= known->second.sequence) {
                 return; // overtaken by a later one
             }
+            tellOfLeave(*server, observation);
             takeEvidence(*server, observation);
             if (heard.fromOtherDomain) {
                 actions.emplace_back(ShareObservations { .observations = { observation }, .forOtherDomains = {} });
@@ -283,6 +284,14 @@
             removeIfGone(*server);
         }
 
+        /** Mends the loss of a leave sign, also of one that this host got before it knew any other host. */
+        void tellOfLeave(const ServerState& server, const ServerObservation& observation) const
+        {
+            if (observation.reachable && !observation.leaving && hasLeft(server, observation.instance)) {
+                actions.emplace_back(ShareLeave { .hosts = { observation.observer }, .server = observation.server, .instance = observation.instance });
+            }
+        }
+
         void takeEvidence(ServerState& server, const ServerObservation& observation) const
         {
             if (observation.reachable) {
--- a/packages/decisions/tests/BackendServerStatusTest.cpp
+++ b/packages/decisions/tests/BackendServerStatusTest.cpp
@@ -245,6 +245,31 @@
     CHECK(phasesAfter(reached("run2")) == std::vector { ServerPhase::Joining, ServerPhase::Live });
 }
 
+TEST_CASE("a host that got a leave sign before it knew any other tells the observers that show not to know of it")
+{
+    BackendServerStatusState state;
+    state.self = "h0";
+    state.selfDomain = "d";
+    const auto shared = [&state](const BackendServerEvent& event) {
+        std::vector<ServerAction> actions;
+        step(state, {}, event, MonotonicTime { 1h }, actions);
+        std::vector<std::string> hosts;
+        for (const ServerAction& action : actions) {
+            if (const auto* share = std::get_if<ShareLeave>(&action)) {
+                hosts.insert(hosts.end(), share->hosts.begin(), share->hosts.end());
+            }
+        }
+        return hosts;
+    };
+    const auto seen = [](uint64_t sequence, bool leaving) { return ObservationHeard { .observation = { .observer = "x", .sequence = sequence, .server = "s0", .instance = "run1", .reachable = true, .leaving = leaving } }; };
+    shared(ServersConfigured { .servers = { { .name = "s0", .pool = "p", .failureDomain = "d" } } });
+    CHECK(shared(seen(1, false)).empty());
+    CHECK(shared(LeaveSign { .server = "s0", .instance = "run1" }).empty());
+    CHECK(shared(seen(2, false)) == std::vector<std::string> { "x" });
+    CHECK(shared(seen(2, false)).empty());
+    CHECK(shared(seen(3, true)).empty());
+}
+
 TEST_CASE("an observation that a later one of the same observer overtook is ignored")
 {
     Domain domain { 3, 1 };
--- a/tests/process/BackendStatusTest.cpp
+++ b/tests/process/BackendStatusTest.cpp
@@ -20,16 +20,18 @@
 
 void waitForState(const Deployment& deployment, const std::string& server, const std::string& state)
 {
+    const std::string description = "all hosts see " + server + " as " + state;
     for (size_t host = 0; host < deployment.hostCount(); ++host) {
-        eventually("host " + std::to_string(host) + " sees " + server + " as " + state, [&] { return deployment.backendServer(host, server).value("state", "") == state; });
+        eventually(description, [&] { return deployment.backendServer(host, server).value("state", "") == state; });
     }
 }
 
 /** Hosts of other domains hear of changes only, which may have come before they had started. */
 void waitUntilLiveInItsDomain(const Deployment& deployment, const std::string& server)
 {
+    const std::string description = "all hosts of its domain see " + server + " as live";
     for (size_t host = 0; host < deployment.hostCount(); ++host) {
-        eventually("host " + std::to_string(host) + " sees " + server + " as live or is in another domain", [&] {
+        eventually(description, [&] {
             const json view = deployment.backendServer(host, server);
             const std::string domain = view.value("failure_domain", "");
             return view.value("state", "") == "live" || (!domain.empty() && domain != deployment.host(host).failureDomain);
@@ -149,3 +151,26 @@
     isOver = true;
     deployment.engine(0).setFaults(R"({"down": true})"); // ends the queued ones too
 }
+
+TEST_CASE("news of four engines costs each of four hosts less than a node's allowance for control")
+{
+    const Deployment deployment { { .failureDomains = 1, .hostsPerFailureDomain = 4, .engines = 4 } };
+    waitUntilLiveInItsDomain(deployment, "engine-3");
+    const auto count = [&](size_t host, const char* name) { return deployment.metric(host, name, "sent") + deployment.metric(host, name, "received"); };
+    constexpr double bytesPerSecondAllowed = 25'000;
+    constexpr double datagrams = 30;
+    std::vector<double> before;
+    for (size_t host = 0; host < deployment.hostCount(); ++host) {
+        before.push_back(count(host, "siskinspread_backend_news_bytes_total"));
+    }
+    const double datagramsBefore = count(0, "siskinspread_backend_news_total");
+    const auto begin = std::chrono::steady_clock::now();
+    eventually("a host has sent and received more news", [&] { return count(0, "siskinspread_backend_news_total") >= datagramsBefore + datagrams; });
+    const double seconds = milliseconds(std::chrono::steady_clock::now() - begin) / 1000;
+    for (size_t host = 0; host < deployment.hostCount(); ++host) {
+        const double bytes = count(host, "siskinspread_backend_news_bytes_total") - before[host];
+        MESSAGE("host " << host << ": " << bytes / seconds << " bytes a second over " << seconds << " s");
+        CHECK(bytes / seconds < bytesPerSecondAllowed);
+    }
+    MESSAGE("bytes a datagram at host 0: " << (count(0, "siskinspread_backend_news_bytes_total") - before[0]) / (count(0, "siskinspread_backend_news_total") - datagramsBefore));
+}
