Wake the log writer when its next write may start

at_most_once_cost found 100 ms a request at 1, 10 and 100 in flight where two group commits 20 ms apart are to be waited for: the writer was looked at on the 50 ms tick only.

--- a/packages/daemon/include/siskinspread/LogWriter.h
+++ b/packages/daemon/include/siskinspread/LogWriter.h
@@ -5,6 +5,7 @@
 #include "siskinspread/ObjectApi.h"
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace siskinspread {
@@ -35,9 +36,12 @@
     /** @return whether entries are not in the log yet. */
     bool hasWaiting() const { return !m_state.waiting.empty(); }
 
-    /** Raise at least every 50 ms. */
+    /** Raise at least every 50 ms and at nextTick. */
     void tick();
 
+    /** @return when the next write may start, where entries wait for that time. */
+    std::optional<MonotonicTime> nextTick() const;
+
     /** @return the copy holder that the log declares or is about to declare. */
     const std::optional<IncarnationId>& declaredHolder() const { return m_state.pendingHolder ? m_state.pendingHolder : m_state.copyHolder; }
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -163,8 +163,8 @@
 
     void turn()
     {
-        const MonotonicTime wakeAt = std::min(m_timers.next().value_or(m_context.now + tickInterval), m_context.now + tickInterval);
-        m_wake.waitUntil(wakeAt);
+        const MonotonicTime nextTick = m_context.now + tickInterval;
+        m_wake.waitUntil(std::min({ m_timers.next().value_or(nextTick), m_writer.nextTick().value_or(nextTick), nextTick }));
         readClocks();
         takeCallerEvents();
         takePeerEvents();
--- a/packages/daemon/src/LogWriter.cpp
+++ b/packages/daemon/src/LogWriter.cpp
@@ -51,6 +51,16 @@
     raise(LogTick {});
 }
 
+std::optional<MonotonicTime> LogWriter::nextTick() const
+{
+    if (m_state.waiting.empty() || m_state.phase != BatchPhase::Idle || !m_state.lastWrite) {
+        return std::nullopt;
+    }
+    const MonotonicTime next = *m_state.lastWrite + m_options.urgentInterval;
+    // Once it has passed, what still waits is not urgent and needs no time of its own.
+    return next > m_context.now ? std::optional { next } : std::nullopt;
+}
+
 void LogWriter::raise(const IncarnationLogEvent& event)
 {
     std::vector<IncarnationLogAction> actions;
