--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -64,7 +64,7 @@
 
     HttpServerOptions peerOptions(const schema::Settings& settings)
     {
-        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()), .maxBodyBytes = 2 * settings.limits().max_body_bytes() + answerBytes };
+        return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()), .maxBodyBytes = size_t { 2 } * settings.limits().max_body_bytes() + answerBytes };
     }
 
     ResultCode resultOf(ServerRefusal refusal)
--- a/packages/daemon/tests/HandedOverRequestTest.cpp
+++ b/packages/daemon/tests/HandedOverRequestTest.cpp
@@ -35,7 +35,8 @@
 TEST_CASE("an offer that lacks a field or has one of another kind is refused")
 {
     const auto whole = nlohmann::json::parse(encodeHandedOverRequest(request));
-    for (const auto& [name, value] : whole.items()) {
+    for (const auto& item : whole.items()) {
+        const std::string& name = item.key();
         CAPTURE(name);
         for (const bool removed : { true, false }) {
             auto damaged = whole;
--- a/packages/decisions/src/StreamHandover.cpp
+++ b/packages/decisions/src/StreamHandover.cpp
@@ -35,6 +35,7 @@
     turn(candidates.begin(), others, seed);
     turn(others, candidates.end(), seed);
     std::vector<std::string> order;
+    order.reserve(candidates.size());
     for (const HandoverCandidate& candidate : candidates) {
         order.push_back(candidate.host);
     }
