--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -32,7 +32,7 @@
     bool isToComeBack(const HttpResponse& response)
     {
         const std::string code = response.header("x-result-code");
-        return code == "300" || code == "301" || code == "302" || code == "304" || code == "305";
+        return code == "300" || code == "301" || code == "302" || code == "304" || code == "305" || code == "307";
     }
 
     /** Sends again while the answer is to come back. */
