Do not judge the others silent after an own pause

at_most_once_process_tests, "the owner is paused past its replacement and wakes up", failed in 4 of 13 runs on a loaded machine: the second try was refused by a live host that was stopping. A woken host found all answers of its peers older than 5 s before it had asked again, held them for ended, and may have closed their logs. The logs of a failing run were not caught, so that last step is inferred from the refusals of hosts that nobody had paused.

Now a host that has not asked for two intervals counts the silence from its return. The test is unchanged.

--- a/packages/daemon/include/siskinspread/PeerDirectory.h
+++ b/packages/daemon/include/siskinspread/PeerDirectory.h
@@ -5,6 +5,7 @@
 #include "siskinspread/Timers.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -43,6 +44,7 @@
 
     void askAll();
     void onIdentity(const std::string& host, const RpcOutcome&);
+    void forgiveOwnPause();
     void judgeSilence();
     void markEnded(const IncarnationId&);
 
@@ -50,6 +52,7 @@
     Timers& m_timers;
     PeerCalls& m_calls;
     std::map<std::string, Peer> m_peers;
+    std::optional<MonotonicTime> m_askedAt;
     std::map<IncarnationId, MonotonicTime> m_expected; /**< Since when an answer is awaited. */
     std::set<IncarnationId> m_ended;
     std::set<IncarnationId> m_final; /**< Those of `m_ended` that cannot come back: replaced, or said goodbye. */
--- a/packages/daemon/src/PeerDirectory.cpp
+++ b/packages/daemon/src/PeerDirectory.cpp
@@ -38,6 +38,7 @@
 
 void PeerDirectory::askAll()
 {
+    forgiveOwnPause();
     for (const schema::PeerSettings& peer : m_context.settings.peers()) {
         m_calls.call(peer.name(), identityMethod, "", [this, host = peer.name()](const RpcOutcome& outcome) { onIdentity(host, outcome); });
     }
@@ -84,6 +85,22 @@
     m_expected.emplace(incarnation, m_context.now);
 }
 
+// A host that was paused has asked nobody meanwhile: the silence is its own, and it would close the logs of all others.
+void PeerDirectory::forgiveOwnPause()
+{
+    const bool wasPaused = m_askedAt && m_context.now - *m_askedAt > 2 * askInterval;
+    m_askedAt = m_context.now;
+    if (!wasPaused) {
+        return;
+    }
+    for (auto& [host, peer] : m_peers) {
+        peer.answeredAt = m_context.now;
+    }
+    for (auto& [incarnation, since] : m_expected) {
+        since = m_context.now;
+    }
+}
+
 void PeerDirectory::judgeSilence()
 {
     for (const auto& [host, peer] : m_peers) {
