Join reclaim notices to the status of backend servers, with a process test

A notice about an engine's host takes the engine out at all four hosts before the engine says anything (backend_status_tests).

--- a/tests/process/BackendStatusTest.cpp
+++ b/tests/process/BackendStatusTest.cpp
@@ -79,6 +79,17 @@
     CHECK(total(deployment, 0, "refused") == refused);
 }
 
+TEST_CASE("the cloud's notice takes an engine out at every host before the engine itself says anything")
+{
+    const Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 3, .cloud = true } };
+    waitUntilLiveInItsDomain(deployment, "engine-0");
+    deployment.giveNotice({ { "hosts", { "engine-0" } }, { "seconds", 600 } });
+    waitForState(deployment, "engine-0", "leaving");
+    const uint64_t started = total(deployment, 0, "started");
+    sendToAllHosts(deployment, "after the notice", 3);
+    CHECK(total(deployment, 0, "started") == started);
+}
+
 TEST_CASE("an engine's own refusal takes it out at the host that got it and at the others")
 {
     // The published load is so old that no probe tells of the leave.
--- a/tests/process/support/Deployment.cpp
+++ b/tests/process/support/Deployment.cpp
@@ -189,6 +189,9 @@
     for (const EntryHost& host : m_hosts) {
         hosts.push_back({ { "name", host.name }, { "class", "entry" }, { "failure_domain", host.failureDomain } });
     }
+    for (size_t i = 0; i < m_engines.size(); ++i) {
+        hosts.push_back({ { "name", "engine-" + std::to_string(i) }, { "class", "engine" }, { "failure_domain", "engines" } });
+    }
     for (size_t i = 0; i < m_ledgers.size(); ++i) {
         hosts.push_back({ { "name", "ledger-" + std::to_string(i) }, { "class", "ledger" }, { "failure_domain", "ledgers" } });
     }
