Count servers of other domains that nobody complained of when a pool is kept in use

(1) Two hosts sent work to a killed engine that all its observers had reported: the only other engine, of another domain, had never been used from there, so the dead one was the whole pool of live servers, of which half is kept. Ruled out: the views lagging behind the status; both come from one refresh. Conclusion: keptFraction was right, its base was not.

--- a/packages/decisions/src/BackendServerRouting.cpp
+++ b/packages/decisions/src/BackendServerRouting.cpp
@@ -35,6 +35,15 @@
         return names;
     }
 
+    std::vector<const ServerState*> joiningElsewhere(const BackendServerStatusState& state, const ServerStatusOptions& options, const std::string& pool, MonotonicTime now)
+    {
+        auto joining = serversInPhase(state, pool, ServerPhase::Joining);
+        std::erase_if(joining, [&](const ServerState* server) {
+            return server->spec.failureDomain == state.selfDomain || isJudgedUnreachable(state, options, *server, now);
+        });
+        return joining;
+    }
+
 } // namespace
 
 std::vector<std::string> observersOf(const std::string& server, const std::vector<std::string>& hosts, uint32_t count)
@@ -75,7 +84,10 @@
     for (const ServerState* server : live) {
         (isJudgedUnreachable(state, options, *server, now) ? unreachable : healthy).push_back(server);
     }
-    const auto kept = static_cast<size_t>(std::ceil(options.keptFraction * static_cast<double>(live.size())));
+    // Other domains report changes and failures only: what they have not said of a server leaves it in use.
+    const auto elsewhere = joiningElsewhere(state, options, pool, now);
+    healthy.insert(healthy.end(), elsewhere.begin(), elsewhere.end());
+    const auto kept = static_cast<size_t>(std::ceil(options.keptFraction * static_cast<double>(live.size() + elsewhere.size())));
     if (healthy.size() >= kept) {
         return { .servers = namesOf(healthy) };
     }
--- a/packages/decisions/tests/BackendServerStatusTest.cpp
+++ b/packages/decisions/tests/BackendServerStatusTest.cpp
@@ -270,6 +270,26 @@
     CHECK(shared(seen(3, true)).empty());
 }
 
+TEST_CASE("a server of another domain that nobody has complained of keeps an unreachable near one out of use")
+{
+    BackendServerStatusState state;
+    state.self = "h0";
+    state.selfDomain = "d";
+    std::vector<ServerAction> actions;
+    MonotonicTime now { 1h };
+    const auto raise = [&](const BackendServerEvent& event) { step(state, {}, event, now, actions); };
+    raise(ServersConfigured { .servers = { { .name = "near", .pool = "p", .failureDomain = "d" }, { .name = "far", .pool = "p", .failureDomain = "e" } } });
+    raise(ObserversChanged { .hosts = { "h0" } });
+    raise(ServerProbed { .server = "near", .instance = "run1", .reachable = true });
+    CHECK(routableServers(state, {}, "p", now).servers == std::vector<std::string> { "far", "near" });
+    now += 10s; // beyond the time for which having reached it counts
+    raise(ServerProbed { .server = "near", .reachable = false });
+    raise(ServerProbed { .server = "near", .reachable = false });
+    const RoutableServers left = routableServers(state, {}, "p", now);
+    CHECK(left.servers == std::vector<std::string> { "far" });
+    CHECK_FALSE(left.keptUnreachable);
+}
+
 TEST_CASE("an observation that a later one of the same observer overtook is ignored")
 {
     Domain domain { 3, 1 };
