--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -71,5 +71,5 @@
   siskinspread_known_red(${NAME} known_red)
   add_test(NAME ${NAME} COMMAND ${NAME} ${known_red})
   set_tests_properties(${NAME} PROPERTIES
-    ENVIRONMENT "RC_PARAMS=seed=1 max_success=1000" LABELS "${LABEL}" TIMEOUT 600)
+    ENVIRONMENT "RC_PARAMS=seed=1 max_success=1000;TSAN_OPTIONS=halt_on_error=1" LABELS "${LABEL}" TIMEOUT 600)
 endfunction()
--- a/tests/standins/Engine.h
+++ b/tests/standins/Engine.h
@@ -40,7 +40,7 @@
     bool duplicateChunks { false };
     bool reorderChunks { false }; /**< Of each four chunks the second and third change places. */
     bool badTokenIndex { false }; /**< Chunks carry a text for the number of their token. */
-    unsigned rejectStatus { 0 }; /**< Answer to every request, which is not run; 0 for none. */
+    int rejectStatus { 0 }; /**< Answer to every request, which is not run; 0 for none. */
     double slowFactor { 1 };
     std::optional<uint64_t> breakAfterTokens;
     std::optional<uint64_t> silentAfterTokens;
--- a/tests/standins/EngineApi.cpp
+++ b/tests/standins/EngineApi.cpp
@@ -167,7 +167,7 @@
     } else if (name == "bad_token_index") {
         m_faults.badTokenIndex = value.get<bool>();
     } else if (name == "reject_status") {
-        m_faults.rejectStatus = value.get<unsigned>();
+        m_faults.rejectStatus = value.get<int>();
     } else if (name == "slow_factor") {
         m_faults.slowFactor = value.get<double>();
     } else if (name == "break_after_tokens") {
