Tell other domains of backend servers by gossip, so that a leave at a host's start is not lost

Cause: a change went to one relay of each other domain at once and once more at the next report, 2 s later at most; then nothing more but failures, every 20 s.

Ruled out: a lost datagram (the sender had no address to send to), the observers (both domains' own hosts saw the leave), and the 20 s interval (it delays failures only, changes were repeated at the next report).

Change: each 2 s every host gossips the last words of observers to one host of its domain and one of another; leaving, unreachable and changed servers first. Hosts of a domain that membership does not know yet are taken from the settings. A leave of the only run that a host has heard of counts for it. A relay passes on what is news, leaves by rumour only.

--- a/packages/daemon/include/siskinspread/BackendStatusAdapter.h
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -64,6 +64,7 @@
     void take(const BackendServerEvent&);
     void act(const ProbeServer&);
     void act(const ShareObservations&);
+    void act(const GossipObservations&);
     void act(const ShareLeave&);
     void act(const ServerPhaseChanged&);
     void onProbed(const std::string& server, MonotonicTime askedAt, const TransferEnded&);
@@ -75,6 +76,7 @@
     uint32_t entryHostCount() const;
     std::vector<ObservedServer> withLoads(const std::vector<ServerObservation>&) const;
     std::vector<std::string> domainHosts() const;
+    std::vector<std::string> otherHosts() const;
     void send(const std::string& host, const std::string& bytes);
     template <typename Action>
     void forEachView(const std::string& server, Action action);
--- a/packages/daemon/src/BackendStatusAdapter.cpp
+++ b/packages/daemon/src/BackendStatusAdapter.cpp
@@ -82,11 +82,31 @@
         }
     }
     std::sort(hosts.begin(), hosts.end());
-    if (hosts != m_state.observers) {
-        take(ObserversChanged { .hosts = std::move(hosts) });
+    auto others = otherHosts();
+    if (hosts != m_state.observers || others != m_state.otherHosts) {
+        take(ObserversChanged { .hosts = std::move(hosts), .otherHosts = std::move(others) });
     }
 }
 
+// Until membership has heard from a domain, one of its hosts may be told all the same.
+std::vector<std::string> BackendStatusAdapter::otherHosts() const
+{
+    std::set<std::string> hosts;
+    std::set<std::string> knownDomains { m_state.selfDomain };
+    for (const KnownIncarnation& known : m_parts.membership.liveIncarnations()) {
+        knownDomains.insert(known.failureDomain);
+        if (known.failureDomain != m_state.selfDomain) {
+            hosts.insert(known.host);
+        }
+    }
+    for (const schema::PeerSettings& peer : m_context.settings.peers()) {
+        if (!knownDomains.contains(peer.failure_domain())) {
+            hosts.insert(peer.name());
+        }
+    }
+    return { hosts.begin(), hosts.end() };
+}
+
 void BackendStatusAdapter::configured(const schema::Configuration& configuration)
 {
     ServersConfigured servers;
@@ -238,6 +258,18 @@
     sendAll(m_parts.membership.otherRelays(), share.forOtherDomains);
 }
 
+void BackendStatusAdapter::act(const GossipObservations& gossip)
+{
+    std::vector<ObservedServer> observed;
+    for (const ServerObservation& observation : gossip.observations) {
+        observed.push_back({ .observation = observation, .load = std::nullopt });
+    }
+    const std::string host = findPeer(m_context.settings, gossip.host) ? gossip.host : hostOf({ gossip.host });
+    for (const std::string& datagram : observationDatagrams({ .incarnation = m_state.self, .failureDomain = m_state.selfDomain }, observed, m_context.now)) {
+        send(host, datagram);
+    }
+}
+
 void BackendStatusAdapter::act(const ShareLeave& share)
 {
     const std::string datagram = leaveDatagram({ .incarnation = m_state.self, .failureDomain = m_state.selfDomain }, { .server = share.server, .instance = share.instance });
--- a/packages/daemon/tests/BackendStatusAdapterTest.cpp
+++ b/packages/daemon/tests/BackendStatusAdapterTest.cpp
@@ -171,6 +171,25 @@
     }
 }
 
+TEST_CASE("another domain hears of a leave again and again, also while no host of it is known yet")
+{
+    for (const bool isKnown : { false, true }) {
+        CAPTURE(isKnown);
+        StatusFixture host;
+        host.probe(std::chrono::seconds(2), idleReport, idleReport);
+        host.status.leaveSign("near-0");
+        for (int second = 0; second < 10; second += 5) {
+            if (isKnown) {
+                host.makeKnown("c", "two", 3);
+            }
+            host.heartbeats.sent.clear();
+            host.probe(std::chrono::seconds(5), idleReport, idleReport);
+            const auto news = host.newsTo("127.0.0.1:4003");
+            CHECK(std::any_of(news.begin(), news.end(), [](const auto& n) { return n.observations_size() && n.observations(0).server() == "near-0" && n.observations(0).leaving(); }));
+        }
+    }
+}
+
 TEST_CASE("one of two observers does not judge alone")
 {
     StatusFixture host;
--- a/packages/decisions/include/siskinspread/BackendServerStatus.h
+++ b/packages/decisions/include/siskinspread/BackendServerStatus.h
@@ -49,9 +49,9 @@
 struct ServersConfigured {
     std::vector<ServerSpec> servers;
 };
-/** The live hosts of the own failure domain, the own one included. */
 struct ObserversChanged {
-    std::vector<std::string> hosts;
+    std::vector<std::string> hosts; /**< The live ones of the own failure domain, the own one included. */
+    std::vector<std::string> otherHosts {}; /**< Of the other failure domains. */
 };
 
 struct ListedServer {
@@ -98,11 +98,16 @@
 struct ProbeServer {
     std::string server;
 };
-/** Send `observations` to all hosts of the own domain and `forOtherDomains`, changes and failures only, to the relays of the others. */
+/** Send `observations` to all hosts of the own domain and `forOtherDomains`, changes only, to the relays of the others. */
 struct ShareObservations {
     std::vector<ServerObservation> observations;
     std::vector<ServerObservation> forOtherDomains;
 };
+/** Send what this host knows, whoever observed it, to one host that may have missed it. */
+struct GossipObservations {
+    std::string host; /**< As in ObserversChanged. */
+    std::vector<ServerObservation> observations;
+};
 /**
  * Send to these hosts at once; every host does so once for each instance, so that the news spreads like an epidemic, and
  * again to an observer whose report shows that it has not heard.
@@ -117,15 +122,16 @@
     ServerPhase phase { ServerPhase::Joining };
 };
 
-using ServerAction = std::variant<ProbeServer, ShareObservations, ShareLeave, ServerPhaseChanged>;
+using ServerAction = std::variant<ProbeServer, ShareObservations, GossipObservations, ShareLeave, ServerPhaseChanged>;
 
 struct ServerStatusOptions {
     std::chrono::milliseconds probeInterval { 1'000 };
     std::chrono::milliseconds shareInterval { 2'000 };
     std::chrono::milliseconds freshness { 5'000 }; /**< Older observations prove nothing; above two shareIntervals. */
-    std::chrono::milliseconds remoteFreshness { 60'000 }; /**< The same for servers of other domains; above two remoteIntervals. */
-    std::chrono::milliseconds remoteInterval { 20'000 }; /**< Between repeats of a failure to other domains. */
-    uint32_t remoteRepeats { 2 }; /**< How often a change is sent to other domains. */
+    std::chrono::milliseconds remoteFreshness { 60'000 }; /**< The same for servers of other domains, which gossip refreshes. */
+    std::chrono::milliseconds urgentTime { 60'000 }; /**< After a change of a server in which gossip puts it first. */
+    size_t maxUrgentServers { 100 }; /**< In one gossip: leaving, unreachable and changed ones. */
+    size_t backgroundServers { 20 }; /**< A gossip with fewer urgent servers is filled up to so many with the others in turn. */
     uint32_t leaveFanout { 3 }; /**< Hosts to which each host passes a leave on. */
     uint32_t failuresToReport { 2 }; /**< Probes in a row without an answer before an observer reports it. */
     uint32_t observersOfServer { 2 };
@@ -138,6 +144,7 @@
     std::optional<bool> reachable; /**< Empty when it was about an earlier instance. */
     MonotonicTime at;
     uint32_t observers { 2 };
+    ServerInstance instance;
 };
 
 struct ServerState {
@@ -149,14 +156,13 @@
     uint32_t load { 0 };
     std::map<std::string, Evidence> evidence; /**< By observer, about the present instance. */
     std::optional<MonotonicTime> reachedAt; /**< Last time that anyone said so, or own traffic. */
+    std::optional<MonotonicTime> changedAt; /**< Of its phase, its run or who reaches it. */
 
     bool observedHere { false };
     bool probeOpen { false };
     uint32_t failures { 0 };
     std::optional<bool> reported;
     MonotonicTime nextProbeAt;
-    uint32_t remoteRepeatsLeft { 0 };
-    MonotonicTime nextRemoteAt;
 };
 
 /** One host's view of all backend servers. `self` and `selfDomain` are set at start, the rest is kept by step. */
@@ -164,14 +170,18 @@
     std::string self; /**< Text of this host's incarnation id. */
     std::string selfDomain;
     std::vector<std::string> observers;
+    std::vector<std::string> otherHosts;
     std::map<std::string, ServerState> servers;
     uint64_t sequence { 0 };
+    uint64_t gossipRound { 0 };
     MonotonicTime nextShareAt;
 };
 
 /**
  * Follows each backend server from joining to gone. Two hosts of a server's failure domain probe it and share what they
- * see; whichever leave sign comes first takes an instance out for good.
+ * see; whichever leave sign comes first takes an instance out for good. Changes go to the other domains at once; what is
+ * lost on the way, or was said before a host started, comes by anti-entropy (A. Demers et al.: Epidemic algorithms for
+ * replicated database maintenance, PODC 1987): each shareInterval every host gossips to one of its domain and one of another.
  * Thread safety: safe while no other thread uses `state`.
  */
 void step(BackendServerStatusState& state, const ServerStatusOptions& options, const BackendServerEvent& event, MonotonicTime now,
@@ -183,6 +193,13 @@
  */
 std::vector<std::string> observersOf(const std::string& server, const std::vector<std::string>& hosts, uint32_t count);
 
+/**
+ * @return what this host gossips to another one: of the servers of other domains to a host of its own, and of those of its
+ * own domain and all that leave to a host of another. Leaving, unreachable and lately changed servers come first.
+ * Thread safety: const.
+ */
+std::vector<ServerObservation> gossipOf(const BackendServerStatusState& state, const ServerStatusOptions& options, bool toOtherDomain, MonotonicTime now);
+
 /**
  * @return whether all observers of the server lately said that they do not reach it and nobody said otherwise. Never on
  * the word of one host while there are others in the domain. Thread safety: const.
--- a/packages/decisions/src/BackendServerStatus.cpp
+++ b/packages/decisions/src/BackendServerStatus.cpp
@@ -26,6 +26,7 @@
         {
             if (server.phase != phase) {
                 server.phase = phase;
+                server.changedAt = now;
                 actions.emplace_back(ServerPhaseChanged { .server = server.spec.name, .phase = phase });
             }
         }
@@ -45,6 +46,9 @@
             if (server.left.size() > options.rememberedInstances) {
                 server.left.erase(server.left.begin());
             }
+            if (server.instance.empty()) {
+                server.instance = instance; // the only run that this host has heard of
+            }
             if (instance == server.instance && server.phase != ServerPhase::Gone) {
                 setPhase(server, ServerPhase::Leaving);
             }
@@ -124,38 +128,27 @@
 
         uint32_t observerCount() const { return static_cast<uint32_t>(std::min<size_t>(options.observersOfServer, state.observers.size())); }
 
-        bool isDueForOtherDomains(ServerState& server) const
-        {
-            const bool isFailure = server.reported == false && server.phase != ServerPhase::Gone && now >= server.nextRemoteAt;
-            if (!server.remoteRepeatsLeft && !isFailure) {
-                return false;
-            }
-            server.remoteRepeatsLeft -= server.remoteRepeatsLeft ? 1 : 0;
-            server.nextRemoteAt = now + options.remoteInterval;
-            return true;
-        }
-
-        void share(const std::vector<ServerState*>& servers) const
+        void share(const std::vector<ServerState*>& servers, bool isChange) const
         {
             ShareObservations message;
-            for (ServerState* server : servers) {
-                if (!server->reported) {
-                    continue;
-                }
-                message.observations.push_back(observationOf(*server));
-                if (isDueForOtherDomains(*server)) {
-                    message.forOtherDomains.push_back(message.observations.back());
+            for (const ServerState* server : servers) {
+                if (server->reported) {
+                    message.observations.push_back(observationOf(*server));
                 }
             }
-            if (!message.observations.empty()) {
-                actions.emplace_back(std::move(message));
+            if (message.observations.empty()) {
+                return;
+            }
+            if (isChange) {
+                message.forOtherDomains = message.observations;
             }
+            actions.emplace_back(std::move(message));
         }
 
         void shareChange(ServerState& server) const
         {
-            server.remoteRepeatsLeft = options.remoteRepeats;
-            share({ &server });
+            server.changedAt = now;
+            share({ &server }, true);
         }
 
         void shareAll() const
@@ -166,7 +159,28 @@
                     observed.push_back(&server);
                 }
             }
-            share(observed);
+            share(observed, false);
+        }
+
+        void gossip() const
+        {
+            ++state.gossipRound;
+            std::vector<std::string> near = state.observers;
+            std::erase(near, state.self);
+            gossipToOne(std::move(near), false);
+            gossipToOne(state.otherHosts, true);
+        }
+
+        void gossipToOne(std::vector<std::string> hosts, bool isOtherDomain) const
+        {
+            hosts = rendezvousOrder(state.self + "/" + std::to_string(state.gossipRound), std::move(hosts));
+            if (hosts.empty()) {
+                return;
+            }
+            auto observations = gossipOf(state, options, isOtherDomain, now);
+            if (!observations.empty()) {
+                actions.emplace_back(GossipObservations { .host = hosts.front(), .observations = std::move(observations) });
+            }
         }
 
         void chooseObserved() const
@@ -187,7 +201,7 @@
         {
             const bool changed = server.reported != reachable;
             server.reported = reachable;
-            server.evidence[state.self] = { .sequence = state.sequence, .reachable = reachable, .at = now, .observers = observerCount() };
+            server.evidence[state.self] = { .sequence = ++state.sequence, .reachable = reachable, .at = now, .observers = observerCount(), .instance = server.instance };
             if (changed) {
                 shareChange(server);
             }
@@ -209,6 +223,7 @@
         void operator()(const ObserversChanged& changed) const
         {
             state.observers = changed.hosts;
+            state.otherHosts = changed.otherHosts;
             chooseObserved();
         }
 
@@ -266,24 +281,42 @@
         {
             const ServerObservation& observation = heard.observation;
             ServerState* server = find(observation.server);
-            if (!server || observation.observer == state.self) {
+            if (!server) {
                 return;
             }
+            const bool isForDomain = heard.fromOtherDomain && isNews(*server, observation);
             if (observation.leaving) {
                 takeLeaveSign(observation.server, observation.instance);
             }
+            if (observation.observer == state.self) {
+                return;
+            }
             const auto known = server->evidence.find(observation.observer);
             if (known != server->evidence.end() && observation.sequence <= known->second.sequence) {
                 return; // overtaken by a later one
             }
             tellOfLeave(*server, observation);
             takeEvidence(*server, observation);
-            if (heard.fromOtherDomain) {
+            if (isForDomain) {
                 actions.emplace_back(ShareObservations { .observations = { observation }, .forOtherDomains = {} });
             }
             removeIfGone(*server);
         }
 
+        /** A leave is not passed on with its observation: it spreads by ShareLeave, which costs a relay less. */
+        static bool isNews(const ServerState& server, const ServerObservation& observation)
+        {
+            if (observation.leaving) {
+                return false;
+            }
+            if (!observation.reachable) {
+                const auto known = server.evidence.find(observation.observer);
+                return known == server.evidence.end() || known->second.reachable != false;
+            }
+            const bool wasMissed = std::any_of(server.evidence.begin(), server.evidence.end(), [](const auto& item) { return item.second.reachable == false; });
+            return wasMissed || observation.instance != server.instance || server.phase == ServerPhase::Joining;
+        }
+
         /** Mends the loss of a leave sign, also of one that this host got before it knew any other host. */
         void tellOfLeave(const ServerState& server, const ServerObservation& observation) const
         {
@@ -299,6 +332,10 @@
                 server.load = observation.load;
             }
             Evidence& evidence = server.evidence[observation.observer];
+            if (evidence.reachable.value_or(true) != observation.reachable) {
+                server.changedAt = now;
+            }
+            evidence.instance = observation.instance;
             evidence.sequence = observation.sequence;
             evidence.at = now;
             evidence.observers = observation.observers;
@@ -333,6 +370,7 @@
             if (now >= state.nextShareAt) {
                 state.nextShareAt = now + options.shareInterval;
                 shareAll();
+                gossip();
             }
         }
     };
