Read the platform's list of hosts, and avoid a backend server that only this host does not reach

Cause: the decision took the list, but nothing in the daemon read it. And a server that its observers reach but this host does not stayed in this host's choice: with one engine of three closing on one host's calls, 5 of that host's 20 requests took a second attempt and 15 were refused, the retry budget being spent.

Ruled out: taking the list's "leaving" against the run that is there now (the list lags; with that rule `backend_status_tests`, "the platform's list alone ...", and the decision's test fail, a later run stays out for good); counting probes as failures of this host (its own observations must not take a server out, "one of two observers does not judge alone"); bringing the views up to date at the next tick only (the 15 refusals above).

The list's leave counts against a run that this host saw 5 s before the notice. Two requests in a row without a byte of an answer: this host avoids the server for 10 s unless it reaches none. Requests to backend servers carry User-Agent: siskinspread (NAME), by which the engine's stand-in has the fault unreachable_for; the cloud's has hold_notices and freeze_list.

Not done: ServerEnded from the cloud; the list's entry hosts as membership hints (no heartbeat ports on it, and peers outside the settings are not spoken to).

--- a/packages/daemon/include/siskinspread/BackendStatusAdapter.h
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -2,6 +2,7 @@
 
 #include "siskinspread/BackendNews.h"
 #include "siskinspread/BackendServerStatus.h"
+#include "siskinspread/CloudApi.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/MembershipAdapter.h"
@@ -48,6 +49,9 @@
     /** A backend server at this "ADDRESS:PORT" answered a request of this host with these headers. */
     void answered(const std::string& address, const HttpHeaders&);
 
+    /** A request of this host to this "ADDRESS:PORT" ended without any byte of an answer. */
+    void unanswered(const std::string& address);
+
     /**
      * Takes a sign that a run of a backend server leaves, such as the cloud's notice; it gets no new work from then on and
      * the other hosts are told. Unknown servers are ignored.
@@ -55,6 +59,9 @@
      */
     void leaveSign(const std::string& server, const ServerInstance& instance = {});
 
+    /** Takes the platform's list; hosts on it that are no backend servers are ignored. */
+    void hostListRead(const std::vector<ListedHost>&);
+
     /** @return "joining", "live", "unreachable", "leaving" or "gone". */
     std::string_view stateName(const std::string& server) const;
 
@@ -90,6 +97,7 @@
     std::map<std::string, BackendLoadReport> m_loads; /**< Latest by server, from whomever. */
     std::set<std::string> m_earlyLeaves; /**< Servers that leave and whose present run is not known yet. */
     std::set<std::string> m_usable; /**< Servers that may get new work, at the last refresh of the views. */
+    std::set<std::string> m_avoided; /**< Servers that only this host lately failed to reach, at the same time. */
     std::set<std::string> m_unreachable; /**< Live and joining servers that nobody reaches, at the same time. */
     std::optional<MonotonicTime> m_settledAt; /**< When this host has had time to hear of all servers. */
     MonotonicTime m_nextObserversAt {};
--- a/packages/daemon/include/siskinspread/TransferRouter.h
+++ b/packages/daemon/include/siskinspread/TransferRouter.h
@@ -37,9 +37,10 @@
     /**
      * @param ringCapacity of the ring of events.
      * @param wakeDecide called on the client's thread after each event.
+     * @param userAgent sent with each transfer unless empty.
      * @param onRingFull called on the decide thread when the command ring refuses a transfer, which then ends NothingSent.
      */
-    TransferRouter(size_t ringCapacity, std::function<void()> wakeDecide, std::function<void()> onRingFull);
+    TransferRouter(size_t ringCapacity, std::function<void()> wakeDecide, std::function<void()> onRingFull, std::string userAgent = {});
 
     void startClient() { m_client.start(); }
     void stopClient() { m_client.stop(); }
@@ -56,6 +57,7 @@
     BoundedRing<ClientEvent> m_events;
     HttpClient m_client;
     std::function<void()> m_onRingFull;
+    const std::string m_userAgent;
     TransferId m_last { 0 };
     std::unordered_map<TransferId, TransferHandler> m_handlers;
     std::deque<TransferId> m_refused;
--- a/packages/daemon/src/BackendStatusAdapter.cpp
+++ b/packages/daemon/src/BackendStatusAdapter.cpp
@@ -159,6 +159,18 @@
     }
 }
 
+void BackendStatusAdapter::unanswered(const std::string& address)
+{
+    const auto server = m_serversByAddress.find(address);
+    if (server == m_serversByAddress.end()) {
+        return; // of an earlier configuration
+    }
+    take(TrafficFailed { .server = server->second });
+    if (!m_avoided.contains(server->second)) {
+        refreshViews(); // at once: until the next tick many requests could fail in the same way
+    }
+}
+
 void BackendStatusAdapter::leaveSign(const std::string& server, const ServerInstance& instance)
 {
     const auto known = m_state.servers.find(server);
@@ -172,6 +184,20 @@
     take(LeaveSign { .server = server, .instance = instance.empty() ? known->second.instance : instance });
 }
 
+void BackendStatusAdapter::hostListRead(const std::vector<ListedHost>& hosts)
+{
+    HostListRead list;
+    for (const ListedHost& host : hosts) {
+        ListedServer listed { .server = host.name, .instance = {}, .leaving = host.leaving };
+        if (host.noticeAt) {
+            listed.leavingSince = m_context.now - std::chrono::duration_cast<MonotonicTime::duration>(m_context.wall - *host.noticeAt);
+        }
+        list.servers.push_back(std::move(listed));
+    }
+    updateObservers();
+    take(list);
+}
+
 // The run was not known when the sign came, so it is given again for the run that has shown itself.
 void BackendStatusAdapter::signEarlyLeave(const std::string& server)
 {
@@ -323,9 +349,12 @@
         }
     }
     m_usable.clear();
+    m_avoided.clear();
     for (const std::string& pool : pools) {
-        RoutableServers routable = routableServers(m_state, m_options, pool, m_context.now);
-        m_usable.insert(routable.servers.begin(), routable.servers.end());
+        const RoutableServers routable = routableServers(m_state, m_options, pool, m_context.now);
+        const auto reached = reachedFromHere(m_state, m_options, routable.servers, m_context.now);
+        m_usable.insert(reached.begin(), reached.end());
+        std::set_difference(routable.servers.begin(), routable.servers.end(), reached.begin(), reached.end(), std::inserter(m_avoided, m_avoided.end()));
     }
     for (const auto& [name, pool] : m_parts.pools.services()) {
         pool->view.entryHosts = entryHostCount();
@@ -346,7 +375,7 @@
     if (phase == ServerPhase::Joining) {
         const bool isTried = isUsable || !m_settledAt || m_context.now < *m_settledAt || mayBeLiveElsewhere(known->second);
         setBackendStatus(view, isTried ? BackendStatus::Live : BackendStatus::Joining, m_context.now);
-        view.reachable = true;
+        view.reachable = !m_avoided.contains(view.description.name);
         return;
     }
     setBackendStatus(view, statusOf(phase), m_context.now);
--- a/packages/daemon/src/BackendTraffic.cpp
+++ b/packages/daemon/src/BackendTraffic.cpp
@@ -21,30 +21,41 @@
 struct BackendTraffic::Watched {
     std::string address;
     TransferHandler handler;
+    bool hasAnswered { false };
 };
 
 // Shared, because the router copies a handler for each event.
 TransferId BackendTraffic::start(StartTransfer&& transfer, TransferHandler handler)
 {
-    auto watched = std::make_shared<const Watched>(Watched { .address = addressOf(transfer.url), .handler = std::move(handler) });
+    auto watched = std::make_shared<Watched>(Watched { .address = addressOf(transfer.url), .handler = std::move(handler) });
     return m_next.start(std::move(transfer), [this, watched = std::move(watched)](const ClientEvent& event) {
         tell(*watched, event);
         watched->handler(event);
     });
 }
 
-void BackendTraffic::tell(const Watched& watched, const ClientEvent& event) const
+void BackendTraffic::tell(Watched& watched, const ClientEvent& event) const
 {
-    if (!onAnswer) {
-        return;
-    }
     if (const auto* headers = std::get_if<TransferHeaders>(&event)) {
-        onAnswer(watched.address, headers->headers);
+        answered(watched, headers->headers);
         return;
     }
     const auto* ended = std::get_if<TransferEnded>(&event);
-    if (ended && ended->end == TransferEnd::Complete) {
-        onAnswer(watched.address, ended->headers);
+    if (!ended || ended->end == TransferEnd::Cancelled) {
+        return;
+    }
+    if (ended->end == TransferEnd::Complete) {
+        answered(watched, ended->headers);
+    } else if (!watched.hasAnswered && onNoAnswer) {
+        onNoAnswer(watched.address);
+    }
+}
+
+void BackendTraffic::answered(Watched& watched, const HttpHeaders& headers) const
+{
+    watched.hasAnswered = true;
+    if (onAnswer) {
+        onAnswer(watched.address, headers);
     }
 }
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -10,6 +10,7 @@
 #include "siskinspread/CopyDesk.h"
 #include "siskinspread/DrainRoute.h"
 #include "siskinspread/HeartbeatChannel.h"
+#include "siskinspread/HostListReader.h"
 #include "siskinspread/KeyedRequests.h"
 #include "siskinspread/LogCloser.h"
 #include "siskinspread/LogWriter.h"
@@ -73,10 +74,12 @@
         m_copies.keepHolder(m_writer);
         m_writer.onEnded = [this](bool planned) { onLogEnded(planned); };
         m_traffic.onAnswer = [this](const std::string& address, const HttpHeaders& headers) { m_backendStatus.answered(address, headers); };
+        m_traffic.onNoAnswer = [this](const std::string& address) { m_backendStatus.unanswered(address); };
         m_membership.onBackendNews = [this](const schema::BackendNewsMessage& news, size_t bytes) { m_backendStatus.hear(news, bytes); };
         m_configuration.start();
         m_membership.start();
         m_notices.start();
+        m_hostList.start();
         m_backendStatus.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
@@ -280,7 +283,7 @@
     const size_t m_ringCapacity { m_settings.limits().ring_capacity() };
     ServerChannel m_callers { callerServerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); }, [this](ServerRefusal why) { return refuseUnread(why); } };
     ServerChannel m_peerCallers { peerOptions(m_settings), m_ringCapacity, waker(), [this](ExchangeId exchange) { return ringFullResponse(exchange); } };
-    TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers) };
+    TransferRouter m_backendServers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToBackendServers), userAgent(m_settings) };
     BackendTraffic m_traffic { m_backendServers };
     TransferRouter m_platform { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPlatform) };
     TransferRouter m_peers { m_ringCapacity, waker(), ringRefusal(Ring::DecideToPeers) };
@@ -326,6 +329,8 @@
     DrainRoute m_drain { m_context, m_stop };
     NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [this](const std::string& host, MonotonicTime) { m_backendStatus.leaveSign(host); } },
         { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
+    HostListReader m_hostList { m_context, { .timers = m_timers, .domainHosts = [this] { return domainHosts(); }, .onList = [this](const std::vector<ListedHost>& hosts) { m_backendStatus.hostListRead(hosts); } },
+        { .url = m_settings.platform().host_list(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
     bool m_closingBegan { false };
--- a/packages/daemon/src/DaemonOptions.cpp
+++ b/packages/daemon/src/DaemonOptions.cpp
@@ -25,6 +25,11 @@
     return { host + "." + digits };
 }
 
+std::string userAgent(const schema::Settings& settings)
+{
+    return "siskinspread (" + settings.host().name() + ")";
+}
+
 ObjectApiOptions storeOptions(const schema::PlatformSettings& settings)
 {
     return { .url = settings.object_api(), .timeout = std::chrono::milliseconds { settings.timeout_ms() } };
--- a/packages/daemon/src/DaemonOptions.h
+++ b/packages/daemon/src/DaemonOptions.h
@@ -25,6 +25,9 @@
 ObjectApiOptions storeOptions(const schema::PlatformSettings&);
 HttpServerOptions peerOptions(const schema::Settings&);
 HeartbeatChannelOptions heartbeatOptions(const schema::Settings&);
+
+/** @return what this host names itself by in its requests to backend servers. */
+std::string userAgent(const schema::Settings&);
 LogLevel logLevel(schema::LogSettings::Level);
 
 /** @return the result code of a request that the server refused before it was whole. */
--- a/packages/daemon/src/TransferRouter.cpp
+++ b/packages/daemon/src/TransferRouter.cpp
@@ -2,10 +2,11 @@
 
 namespace siskinspread {
 
-TransferRouter::TransferRouter(size_t ringCapacity, std::function<void()> wakeDecide, std::function<void()> onRingFull)
+TransferRouter::TransferRouter(size_t ringCapacity, std::function<void()> wakeDecide, std::function<void()> onRingFull, std::string userAgent)
     : m_events(ringCapacity, std::move(wakeDecide))
     , m_client({ .commandCapacity = ringCapacity }, [this](std::unique_ptr<ClientEvent>& event) { return m_events.tryPush(event); })
     , m_onRingFull(std::move(onRingFull))
+    , m_userAgent(std::move(userAgent))
 {
 }
 
@@ -13,6 +14,9 @@
 {
     const TransferId id = ++m_last;
     transfer.transfer = id;
+    if (!m_userAgent.empty()) {
+        transfer.headers.push_back({ .name = "User-Agent", .value = m_userAgent });
+    }
     m_handlers.emplace(id, std::move(handler));
     ClientCommand command { std::move(transfer) };
     if (!m_client.tryCommand(command)) {
--- a/packages/daemon/tests/BackendStatusAdapterTest.cpp
+++ b/packages/daemon/tests/BackendStatusAdapterTest.cpp
@@ -206,6 +206,23 @@
     CHECK(host.status.stateName("near-0") == "unreachable");
 }
 
+TEST_CASE("a server that leaves this host's own requests without an answer is avoided at once, and tried again later")
+{
+    StatusFixture host;
+    BackendTraffic traffic { host.backendServers };
+    traffic.onNoAnswer = [&](const std::string& address) { host.status.unanswered(address); };
+    host.probe(std::chrono::seconds(6), idleReport, idleReport);
+    for (const bool mayWork : { true, false }) {
+        traffic.start({ .url = "http://10.0.0.1:8000/v1/chat/completions" }, [](const ClientEvent&) {});
+        loseAnswer(*host.backendServers.take("chat"));
+        CHECK(host.mayReceiveWork("near-0") == mayWork);
+    }
+    CHECK(host.mayReceiveWork("near-1"));
+    CHECK(host.status.stateName("near-0") == "live");
+    host.probe(std::chrono::seconds(11), idleReport, idleReport);
+    CHECK(host.mayReceiveWork("near-0"));
+}
+
 TEST_CASE("a load that another host observed reaches the view with its age")
 {
     StatusFixture host;
--- a/packages/decisions/include/siskinspread/BackendServerStatus.h
+++ b/packages/decisions/include/siskinspread/BackendServerStatus.h
@@ -56,8 +56,9 @@
 
 struct ListedServer {
     std::string server;
-    ServerInstance instance;
+    ServerInstance instance; /**< Empty when the list names no run. */
     bool leaving { false };
+    std::optional<MonotonicTime> leavingSince {}; /**< Needed without an instance: of a later run nothing is said. */
 };
 /** The platform's list, which lags: being on it revives nothing, and missing from it removes only what nobody reaches. */
 struct HostListRead {
@@ -89,11 +90,15 @@
 struct TrafficReached {
     std::string server;
 };
+/** A request of this host to the server ended without any byte of an answer. */
+struct TrafficFailed {
+    std::string server;
+};
 /** Time passed; to be sent several times a second. */
 struct ServersTick { };
 
 using BackendServerEvent = std::variant<ServersConfigured, ObserversChanged, HostListRead, LeaveSign, ServerEnded, ServerProbed, ObservationHeard,
-    TrafficReached, ServersTick>;
+    TrafficReached, TrafficFailed, ServersTick>;
 
 struct ProbeServer {
     std::string server;
@@ -136,6 +141,9 @@
     uint32_t failuresToReport { 2 }; /**< Probes in a row without an answer before an observer reports it. */
     uint32_t observersOfServer { 2 };
     double keptFraction { 0.5 }; /**< Of a pool's servers without leave sign that stays in use whatever observers say. */
+    std::chrono::milliseconds clockTolerance { 5'000 }; /**< Between the clocks of the cloud and of this host. */
+    uint32_t failuresToAvoid { 2 }; /**< Requests of this host in a row without an answer before it avoids a server. */
+    std::chrono::milliseconds avoidTime { 10'000 }; /**< After the latest of them; then it tries again. */
     size_t rememberedInstances { 8 }; /**< Instances of a server that left. */
 };
 
@@ -151,6 +159,7 @@
     ServerSpec spec;
     ServerPhase phase { ServerPhase::Joining };
     ServerInstance instance;
+    std::optional<MonotonicTime> instanceSeenAt; /**< When the run first showed itself here. */
     std::vector<ServerInstance> left; /**< Instances that had a leave sign, latest last. */
     bool listed { true }; /**< By the platform's list as last read. */
     uint32_t load { 0 };
@@ -158,6 +167,9 @@
     std::optional<MonotonicTime> reachedAt; /**< Last time that anyone said so, or own traffic. */
     std::optional<MonotonicTime> changedAt; /**< Of its phase, its run or who reaches it. */
 
+    uint32_t ownFailures { 0 }; /**< Requests of this host in a row without an answer. */
+    MonotonicTime ownFailureAt;
+
     bool observedHere { false };
     bool probeOpen { false };
     uint32_t failures { 0 };
@@ -215,6 +227,13 @@
 /** @return which servers may get new work. Thread safety: const. */
 RoutableServers routableServers(const BackendServerStatusState& state, const ServerStatusOptions& options, const std::string& pool, MonotonicTime now);
 
+/**
+ * @return those of the servers that this host has not failed to reach lately, or all of them when it failed to reach each. It
+ * is this host's own choice only: others that reach a server go on to use it. Thread safety: const.
+ */
+std::vector<std::string> reachedFromHere(const BackendServerStatusState& state, const ServerStatusOptions& options, const std::vector<std::string>& servers,
+    MonotonicTime now);
+
 /** The unsafe reference for tests: drops a server on any single report. Thread safety: const. */
 std::vector<std::string> routableOnAnyReport(const BackendServerStatusState& state, const ServerStatusOptions& options, const std::string& pool,
     MonotonicTime now);
--- a/packages/decisions/src/BackendServerRouting.cpp
+++ b/packages/decisions/src/BackendServerRouting.cpp
@@ -98,6 +98,20 @@
     return { .servers = namesOf(healthy), .keptUnreachable = true };
 }
 
+std::vector<std::string> reachedFromHere(const BackendServerStatusState& state, const ServerStatusOptions& options, const std::vector<std::string>& servers,
+    MonotonicTime now)
+{
+    std::vector<std::string> reached;
+    for (const std::string& name : servers) {
+        const ServerState& server = state.servers.at(name);
+        const bool isAvoided = server.ownFailures >= options.failuresToAvoid && now < server.ownFailureAt + options.avoidTime;
+        if (!isAvoided) {
+            reached.push_back(name);
+        }
+    }
+    return reached.empty() ? servers : reached;
+}
+
 std::vector<std::string> routableOnAnyReport(const BackendServerStatusState& state, const ServerStatusOptions& options, const std::string& pool,
     MonotonicTime now)
 {
--- a/packages/decisions/src/BackendServerStatus.cpp
+++ b/packages/decisions/src/BackendServerStatus.cpp
@@ -47,7 +47,7 @@
                 server.left.erase(server.left.begin());
             }
             if (server.instance.empty()) {
-                server.instance = instance; // the only run that this host has heard of
+                showRun(server, instance); // the only run that this host has heard of
             }
             if (instance == server.instance && server.phase != ServerPhase::Gone) {
                 setPhase(server, ServerPhase::Leaving);
@@ -71,15 +71,22 @@
             }
         }
 
+        void showRun(ServerState& server, const ServerInstance& instance) const
+        {
+            server.instance = instance;
+            server.instanceSeenAt = now;
+        }
+
         /** Another run of the server has shown itself: it starts anew. */
         void begin(ServerState& server, const ServerInstance& instance) const
         {
-            server.instance = instance;
+            showRun(server, instance);
             for (auto& [observer, evidence] : server.evidence) {
                 evidence.reachable.reset();
             }
             server.reachedAt.reset();
             server.failures = 0;
+            server.ownFailures = 0;
             server.reported.reset();
             setPhase(server, hasLeft(server, instance) ? ServerPhase::Leaving : ServerPhase::Joining);
         }
@@ -89,7 +96,7 @@
             const bool returns = server.phase == ServerPhase::Gone && !hasLeft(server, instance);
             const bool wasUnnamed = server.instance.empty() && server.phase == ServerPhase::Live && !hasLeft(server, instance);
             if (wasUnnamed) {
-                server.instance = instance; // the run that own traffic had reached before anyone knew its id
+                showRun(server, instance); // the run that own traffic had reached before anyone knew its id
             } else if (instance != server.instance || returns) {
                 begin(server, instance);
             }
@@ -237,13 +244,19 @@
                 if (!server) {
                     continue;
                 }
-                server->listed = !listed.leaving;
-                if (listed.leaving) {
-                    takeLeaveSign(listed.server, listed.instance);
+                server->listed = true;
+                if (listed.leaving && (!listed.instance.empty() || isAboutPresentRun(*server, listed))) {
+                    takeLeaveSign(listed.server, listed.instance.empty() ? server->instance : listed.instance);
                 }
             }
         }
 
+        /** The list may still tell of an earlier host of the name, so its word counts only against a run that is older than it. */
+        bool isAboutPresentRun(const ServerState& server, const ListedServer& listed) const
+        {
+            return listed.leavingSince && server.instanceSeenAt && *server.instanceSeenAt + options.clockTolerance <= *listed.leavingSince;
+        }
+
         void operator()(const LeaveSign& sign) const { takeLeaveSign(sign.server, sign.instance); }
 
         void operator()(const ServerEnded& ended) const
@@ -351,12 +364,21 @@
         {
             if (ServerState* server = find(traffic.server)) {
                 server->reachedAt = now;
+                server->ownFailures = 0;
                 if (server->phase == ServerPhase::Joining) {
                     setPhase(*server, ServerPhase::Live);
                 }
             }
         }
 
+        void operator()(const TrafficFailed& traffic) const
+        {
+            if (ServerState* server = find(traffic.server)) {
+                ++server->ownFailures;
+                server->ownFailureAt = now;
+            }
+        }
+
         void operator()(const ServersTick&) const
         {
             for (auto& [name, server] : state.servers) {
--- a/packages/decisions/tests/BackendServerStatusTest.cpp
+++ b/packages/decisions/tests/BackendServerStatusTest.cpp
@@ -221,6 +221,45 @@
     CHECK(pair.routable(0) == 2);
 }
 
+TEST_CASE("the list's word of a leave counts only against a run that had shown itself before it")
+{
+    Domain domain { 2, 1 };
+    domain.run(20s);
+    const auto listed = [&](std::optional<MonotonicTime> since) { domain.dispatch(0, HostListRead { { { .server = "s0", .instance = {}, .leaving = true, .leavingSince = since } } }); };
+    listed(domain.now() - 18s); // of the host before this one, or the clocks differ
+    listed(std::nullopt);
+    CHECK(phase(domain, 0, 0) == ServerPhase::Live);
+    domain.server(0).starts = 2;
+    domain.run(3s);
+    listed(domain.now() - 4s); // the list lags
+    domain.run(3s);
+    CHECK(phase(domain, 1, 0) == ServerPhase::Live);
+    domain.run(10s);
+    listed(domain.now() - 1s);
+    domain.run(3s);
+    CHECK(phase(domain, 1, 0) == ServerPhase::Leaving);
+}
+
+TEST_CASE("a host that does not reach a server avoids it for a while, unless it reaches none, and the others go on to use it")
+{
+    Domain domain { 3, 2 };
+    domain.run(5s);
+    const auto usable = [&](size_t host) { return reachedFromHere(domain.host(host), {}, routableServers(domain.host(host), {}, "p", domain.now()).servers, domain.now()); };
+    const std::vector<std::string> both { "s0", "s1" };
+    domain.dispatch(0, TrafficFailed { "s0" });
+    CHECK(usable(0) == both);
+    domain.dispatch(0, TrafficFailed { "s0" });
+    CHECK(usable(0) == std::vector<std::string> { "s1" });
+    CHECK(usable(1) == both);
+    domain.dispatch(0, TrafficFailed { "s1" });
+    domain.dispatch(0, TrafficFailed { "s1" });
+    CHECK(usable(0) == both);
+    domain.dispatch(0, TrafficReached { "s1" });
+    CHECK(usable(0) == std::vector<std::string> { "s1" });
+    domain.advance(11s);
+    CHECK(usable(0) == both);
+}
+
 TEST_CASE("own traffic makes a joining server live, and its first known run goes on as the same one")
 {
     BackendServerStatusState state;
--- a/packages/platform/include/siskinspread/CloudApi.h
+++ b/packages/platform/include/siskinspread/CloudApi.h
@@ -27,4 +27,20 @@
  */
 std::optional<std::vector<ReclaimNotice>> reclaimNotices(const TransferEnded&, LastReason& reason);
 
+/** A host on the platform's list, which lags behind reality. */
+struct ListedHost {
+    std::string name;
+    bool leaving { false };
+    std::optional<WallTime> noticeAt; /**< When the notice of a leaving host was given, by the cloud's clock. */
+};
+
+/** Builds the call that reads the list of live and leaving hosts. Thread safety: reentrant. */
+StartTransfer readHostList(const CloudApiOptions&);
+
+/**
+ * @return the hosts in the answer; an entry that is malformed is left out.
+ * @param reason StoreUnavailable when there was no answer or it is no list. Thread safety: reentrant.
+ */
+std::optional<std::vector<ListedHost>> hostList(const TransferEnded&, LastReason& reason);
+
 } // namespace siskinspread
--- a/tests/process/BackendStatusTest.cpp
+++ b/tests/process/BackendStatusTest.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 
@@ -39,18 +40,53 @@
     }
 }
 
+double listReads(const Deployment& deployment, size_t host)
+{
+    return deployment.metric(host, R"(siskinspread_store_calls_total{)", R"(outcome="answered",purpose="host_list")");
+}
+
+/** With two hosts in a domain both read the platform's list. */
+void waitForListReads(const Deployment& deployment, double count)
+{
+    std::vector<double> wanted;
+    for (size_t host = 0; host < deployment.hostCount(); ++host) {
+        wanted.push_back(listReads(deployment, host) + count);
+    }
+    for (size_t host = 0; host < deployment.hostCount(); ++host) {
+        eventually("the host has read the platform's list again", [&] { return listReads(deployment, host) >= wanted[host]; });
+    }
+}
+
+/** A list's word of a leave counts against a run that had shown itself 5 s earlier. */
+void waitForClockTolerance(const Deployment& deployment)
+{
+    waitForListReads(deployment, 12);
+}
+
+/** Sends requests of different prompts to a host and checks that each gets its whole answer. @return the attempts of each. */
+std::vector<int> sendToHost(const Deployment& deployment, size_t host, const std::string& content, int requests)
+{
+    std::vector<int> attempts;
+    for (int i = 0; i < requests; ++i) {
+        CAPTURE(content);
+        CAPTURE(host);
+        const auto stream = httpStream(deployment.chat(host, content + " " + std::to_string(i) + " at " + std::to_string(host), shortAnswer));
+        CHECK(stream.response.status == 200);
+        CHECK(stream.response.isComplete);
+        CHECK(stream.events.size() == shortAnswer + 2);
+        attempts.push_back(deployment.account(host, stream.response.header("x-request-id")).at("attempts").get<int>());
+    }
+    return attempts;
+}
+
 /** Sends requests of different prompts to every host and checks that each gets its whole answer at the first attempt. */
 void sendToAllHosts(const Deployment& deployment, const std::string& content, int requestsPerHost)
 {
     for (size_t host = 0; host < deployment.hostCount(); ++host) {
-        for (int i = 0; i < requestsPerHost; ++i) {
+        for (const int attempts : sendToHost(deployment, host, content, requestsPerHost)) {
             CAPTURE(content);
             CAPTURE(host);
-            const auto stream = httpStream(deployment.chat(host, content + " " + std::to_string(i) + " at " + std::to_string(host), shortAnswer));
-            CHECK(stream.response.status == 200);
-            CHECK(stream.response.isComplete);
-            CHECK(stream.events.size() == shortAnswer + 2);
-            CHECK(deployment.account(host, stream.response.header("x-request-id")).at("attempts") == 1);
+            CHECK(attempts == 1);
         }
     }
 }
@@ -90,6 +126,70 @@
     CHECK(total(deployment, 0, "started") == started);
 }
 
+TEST_CASE("the platform's list alone takes a leaving engine out, and takes no later run out while it still tells of the leave")
+{
+    Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 3, .cloud = true } };
+    deployment.cloud().setFaults(R"({"hold_notices": true})");
+    waitForState(deployment, "engine-0", "live");
+    waitForClockTolerance(deployment);
+    deployment.giveNotice({ { "hosts", { "engine-0" } }, { "seconds", 600 } });
+    waitForState(deployment, "engine-0", "leaving");
+    const uint64_t started = total(deployment, 0, "started");
+    sendToAllHosts(deployment, "after the list", 3);
+    CHECK(total(deployment, 0, "started") == started);
+
+    deployment.cloud().setFaults(R"({"freeze_list": true})");
+    deployment.restartEngine(0);
+    waitForState(deployment, "engine-0", "live");
+    waitForListReads(deployment, 10);
+    waitForState(deployment, "engine-0", "live");
+}
+
+TEST_CASE("a list that says live brings neither a leaving nor a dead engine back, and one that misses all engines takes none out")
+{
+    Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 4, .cloud = true } };
+    waitForState(deployment, "engine-3", "live");
+    deployment.cloud().setFaults(R"({"freeze_list": true})");
+    deployment.engine(0).setFaults(R"({"leaving": true})");
+    deployment.engine(1).process().kill();
+    waitForState(deployment, "engine-0", "leaving");
+    waitForState(deployment, "engine-1", "unreachable");
+    waitForListReads(deployment, 4);
+    const uint64_t started = total(deployment, 0, "started");
+    sendToAllHosts(deployment, "a list that lags", 3);
+    CHECK(total(deployment, 0, "started") == started);
+
+    const Deployment unlisted { { .hostsPerFailureDomain = 2, .engines = 2, .cloud = true, .cloudArguments = { "--list-lag-ms", "600000" } } };
+    waitForState(unlisted, "engine-0", "live");
+    waitForListReads(unlisted, 4);
+    sendToAllHosts(unlisted, "an empty list", 3);
+    waitForState(unlisted, "engine-0", "live");
+    waitForState(unlisted, "engine-1", "live");
+}
+
+TEST_CASE("an engine that one of its two observers does not reach stays in use at the others, and that host goes elsewhere")
+{
+    const Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 3 } };
+    for (const std::string engine : { "engine-0", "engine-1", "engine-2" }) {
+        waitForState(deployment, engine, "live");
+    }
+    constexpr size_t cutOff = 0; // it observes engine-0, as both hosts of domain-0 do
+    deployment.engine(0).setFaults(json { { "unreachable_for", { deployment.host(cutOff).name } } }.dump());
+    const auto failedProbes = [&] { return deployment.metric(cutOff, "siskinspread_backend_probes_total", R"(outcome="unreached")"); };
+    const double before = failedProbes();
+    eventually("its observations have gone round for longer than others stay fresh", [&] { return failedProbes() >= before + 8; });
+    waitForState(deployment, "engine-0", "live");
+    const uint64_t started = total(deployment, 0, "started");
+    for (size_t host = 0; host < deployment.hostCount(); ++host) {
+        const auto attempts = sendToHost(deployment, host, "asymmetric", 20);
+        const auto retried = std::count_if(attempts.begin(), attempts.end(), [](int count) { return count > 1; });
+        MESSAGE("host " << host << ": " << retried << " of 20 requests took a second attempt");
+        CHECK(*std::max_element(attempts.begin(), attempts.end()) <= (host == cutOff ? 2 : 1));
+    }
+    CHECK(total(deployment, 0, "started") > started);
+    waitForState(deployment, "engine-0", "live");
+}
+
 TEST_CASE("an engine's own refusal takes it out at the host that got it and at the others")
 {
     // The published load is so old that no probe tells of the leave.
--- a/tests/process/support/Deployment.cpp
+++ b/tests/process/support/Deployment.cpp
@@ -72,7 +72,7 @@
 Deployment::Deployment(DeploymentOptions options)
     : m_options(std::move(options))
     , m_objectApi(std::make_unique<StandIn>("standin_object_api"))
-    , m_cloud(m_options.cloud ? std::make_unique<StandIn>("standin_cloud") : nullptr)
+    , m_cloud(m_options.cloud ? std::make_unique<StandIn>("standin_cloud", m_options.cloudArguments) : nullptr)
 {
     startEngines();
     startLedgers();
@@ -170,7 +170,7 @@
 {
     std::string text = "[host]\nname = " + quoted(host.name) + "\nfailure_domain = " + quoted(host.failureDomain)
         + "\n[listen]\naddress = \"127.0.0.1\"\ncaller_port = " + std::to_string(host.callerPort) + "\npeer_port = " + std::to_string(host.peerPort)
-        + "\nheartbeat_port = " + std::to_string(host.heartbeatPort) + "\n[platform]\nobject_api = \"http://" + m_objectApi->address() + "\"\n" + (m_cloud ? "cloud_api = \"http://" + m_cloud->address() + "\"\n" : "") + m_options.hostSettings + "\n";
+        + "\nheartbeat_port = " + std::to_string(host.heartbeatPort) + "\n[platform]\nobject_api = \"http://" + m_objectApi->address() + "\"\n" + (m_cloud ? "cloud_api = \"http://" + m_cloud->address() + "\"\nhost_list = \"http://" + m_cloud->address() + "\"\nhost_list_interval_ms = 500\n" : "") + m_options.hostSettings + "\n";
     for (const EntryHost& peer : m_hosts) {
         if (peer.name != host.name) {
             text += "[[peers]]\nname = " + quoted(peer.name) + "\nfailure_domain = " + quoted(peer.failureDomain)
--- a/tests/process/support/Deployment.h
+++ b/tests/process/support/Deployment.h
@@ -20,6 +20,7 @@
     size_t engines { 2 }; /**< Spread over the failure domains; each costs more than the one before. */
     size_t ledgers { 0 }; /**< Backend servers of the plain service "ledger", whose POST calls may not be repeated. */
     bool cloud { false }; /**< Start the cloud API and let it know the entry hosts, the engines and the ledgers. */
+    std::vector<std::string> cloudArguments {};
     size_t customers { 1 };
     std::vector<std::string> engineArguments { "--between-tokens-ms", "2" };
     std::string serviceSettings {}; /**< TOML lines of the model service. */
--- a/tests/standins/Cloud.cpp
+++ b/tests/standins/Cloud.cpp
@@ -274,7 +274,8 @@
 void Cloud::sendHostList(const Responder& responder)
 {
     auto hosts = nlohmann::json::array();
-    for (const CloudHost& host : m_list.published(std::chrono::steady_clock::now())) {
+    const auto& published = m_list.published(std::chrono::steady_clock::now());
+    for (const CloudHost& host : m_faults.frozenList ? *m_faults.frozenList : published) {
         hosts.push_back(hostJson(host));
     }
     sendJson(responder, 200, hosts);
@@ -284,7 +285,7 @@
 {
     auto notices = nlohmann::json::array();
     for (const ReclaimNotice& notice : m_notices) {
-        if (notice.sequence > call.queryNumber("after", 0)) {
+        if (!m_faults.holdNotices && notice.sequence > call.queryNumber("after", 0)) {
             notices.push_back({ { "seq", notice.sequence }, { "host", notice.host }, { "at_ms", timeJson(notice.at) }, { "seconds", notice.lead.count() } });
         }
     }
@@ -306,6 +307,13 @@
         m_faults.refuseStarts = value.get<uint64_t>();
     } else if (name == "lose_next_answers") {
         m_faults.loseNextAnswers = value.get<uint64_t>();
+    } else if (name == "hold_notices") {
+        m_faults.holdNotices = value.get<bool>();
+    } else if (name == "freeze_list") {
+        m_faults.frozenList.reset();
+        if (value.get<bool>()) {
+            m_faults.frozenList = m_list.published(std::chrono::steady_clock::now());
+        }
     } else {
         return setCommonFault(m_faults.common, m_loop, name, value);
     }
--- a/tests/standins/Cloud.h
+++ b/tests/standins/Cloud.h
@@ -48,6 +48,8 @@
     CommonFaults common;
     uint64_t refuseStarts { 0 };
     uint64_t loseNextAnswers { 0 }; /**< Of orders that took effect. */
+    bool holdNotices { false }; /**< GET /notices tells of none. */
+    std::optional<std::vector<CloudHost>> frozenList; /**< What GET /host-list answers, whatever happens. */
 };
 
 /** A rate limit with a burst of one second. */
--- a/tests/standins/Engine.h
+++ b/tests/standins/Engine.h
@@ -44,6 +44,7 @@
     double slowFactor { 1 };
     std::optional<uint64_t> breakAfterTokens;
     std::optional<uint64_t> silentAfterTokens;
+    std::set<std::string> unreachableFor; /**< Entry hosts whose calls get no answer, as across a partition. */
 };
 
 struct EngineLoad {
@@ -100,6 +101,7 @@
     using RunPointer = std::shared_ptr<EngineRun>;
 
     void serve(const Call& call, const Responder& responder);
+    bool isCutOff(const Call& call) const;
     void serveChat(const Call& call, const Responder& responder);
     void serveOrders(const Call& call, const Responder& responder);
     void serveCancel(const Call& call, const Responder& responder);
--- a/tests/standins/EngineApi.cpp
+++ b/tests/standins/EngineApi.cpp
@@ -2,6 +2,7 @@
 
 #include "Engine.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace siskinspread::standin {
@@ -40,11 +41,19 @@
         sendTotals(responder);
     } else if (call.path == "/control/faults") {
         setFaults(call, responder, [this](const auto& name, const auto& value) { return setFault(name, value); });
+    } else if (isCutOff(call)) {
+        responder.closeConnection();
     } else {
         passCommonFaults(m_faults.common, m_loop, responder, [this, call, responder] { serve(call, responder); });
     }
 }
 
+bool Engine::isCutOff(const Call& call) const
+{
+    const std::string agent = call.header("user-agent");
+    return std::any_of(m_faults.unreachableFor.begin(), m_faults.unreachableFor.end(), [&](const std::string& host) { return agent.find("(" + host + ")") != std::string::npos; });
+}
+
 void Engine::serve(const Call& call, const Responder& responder)
 {
     const bool isPost = call.method == "POST";
@@ -170,6 +179,8 @@
         m_faults.rejectStatus = value.get<int>();
     } else if (name == "slow_factor") {
         m_faults.slowFactor = value.get<double>();
+    } else if (name == "unreachable_for") {
+        m_faults.unreachableFor = value.get<std::set<std::string>>();
     } else if (name == "break_after_tokens") {
         m_faults.breakAfterTokens = tokenLimit(value);
     } else if (name == "silent_after_tokens") {
