Give second tries an id that leads to the first request's account

Cause: a second try that was answered from the record of the first had an odd id of its own, and nobody waited for its account. When its host died or its log was closed within that time, a later lookup said "interrupted, not run" of a try that had been told "ran", "may have run" or "in progress". Refusals with slice_history_incomplete had the same fault.

Weighed in docs/design/accounts.md: the answer waits for its account (a group commit each, refused with the store and the copy holder away), an even id (says less than is known), and an id that names the first request. Chosen the last: nothing is written and nothing waits. slice_history_incomplete goes under a refusal's id, which leaves no record.

AccountEntry::replayOf is gone: nothing sets it.

The process test of the same key at two hosts now looks the second try up by its id; it was not run yet at this commit.

--- a/packages/common/include/siskinspread/Ids.h
+++ b/packages/common/include/siskinspread/Ids.h
@@ -32,6 +32,23 @@
 /** @return the text form "INCARNATION-SEQUENCE". Thread safety: reentrant. */
 std::string formatRequestId(const RequestId& id);
 
+/** Stands before the number in the id of a refusal, "INCARNATION-rNUMBER": it names no accepted request and leaves no record. */
+constexpr std::string_view refusalMark = "-r";
+
+/**
+ * @param first the request that holds the idempotency key.
+ * @param refusalId issued for this try.
+ * @return the id of a second try with the key, which leads to the account of the first. Thread safety: reentrant.
+ */
+std::string formatRepeatId(const RequestId& first, std::string_view refusalId);
+
+/**
+ * @param text any id that a caller was told.
+ * @param reason set to UnknownRequest when no account can stand under it, with the reason why.
+ * @return the id under which the account stands: of a second try, that of the first. Thread safety: reentrant.
+ */
+std::optional<RequestId> parseAccountId(std::string_view text, LastReason& reason);
+
 /**
  * @param text the text form of a request id.
  * @param reason set to UnknownRequest when the text is not an id.
--- a/packages/common/tests/IdsTest.cpp
+++ b/packages/common/tests/IdsTest.cpp
@@ -27,4 +27,14 @@
     }
 }
 
+TEST_CASE("the id of a second try leads to the first request, and that of a refusal to no account")
+{
+    const RequestId first { .incarnation = { "host-r1.0a" }, .sequence = 7 };
+    LastReason reason;
+    CHECK(parseAccountId(formatRequestId(first), reason) == first);
+    CHECK(parseAccountId(formatRepeatId(first, "host-2.0b-r5"), reason) == first);
+    CHECK_FALSE(parseAccountId("host-2.0b-r5", reason));
+    CHECK(reason.detail.find("refused before it was accepted") != std::string::npos);
+}
+
 } // namespace siskinspread
--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -96,7 +96,7 @@
             arguments.key = wordOf(values, "key");
             return true;
         }
-        arguments.requestId = parseRequestId(wordsOf(values, "ID").front(), reason);
+        arguments.requestId = parseAccountId(wordsOf(values, "ID").front(), reason);
         return arguments.requestId.has_value();
     }
 
--- a/packages/ctl/src/PresentJson.cpp
+++ b/packages/ctl/src/PresentJson.cpp
@@ -131,9 +131,6 @@
     addTime(object, "finished", account.finishedAt);
     object["attempts"] = account.attempts;
     object["backend_servers"] = account.backendServers;
-    if (account.replayOf) {
-        object["replay_of"] = formatRequestId(*account.replayOf);
-    }
     object["entry_host"] = account.entryHost;
     object["recorded_by"] = answer.recordedBy;
     object["advice"] = answer.advice;
--- a/packages/ctl/src/PresentText.cpp
+++ b/packages/ctl/src/PresentText.cpp
@@ -117,9 +117,6 @@
     for (const std::string& server : account.backendServers) {
         text += line("sent to", server);
     }
-    if (account.replayOf) {
-        text += line("answer of", formatRequestId(*account.replayOf));
-    }
     text += line("entry host", account.entryHost) + line("recorded by", answer.recordedBy);
     return answer.advice.empty() ? text : text + line("advice", answer.advice);
 }
--- a/packages/daemon/include/siskinspread/RequestRegister.h
+++ b/packages/daemon/include/siskinspread/RequestRegister.h
@@ -12,9 +12,6 @@
 
 namespace siskinspread {
 
-/** Text form of the id in a refusal: it names no accepted request, so its account needs no record. */
-constexpr std::string_view refusalMark = "-r";
-
 /**
  * Gives out request ids and keeps the requests that are open at this host until their account is on record.
  * Thread safety: decide thread only.
--- a/packages/daemon/src/AccountLookups.cpp
+++ b/packages/daemon/src/AccountLookups.cpp
@@ -149,9 +149,6 @@
     if (answer.key) {
         json["idempotency_key"] = answer.key->text;
     }
-    if (account.replayOf) {
-        json["replay_of"] = formatRequestId(*account.replayOf);
-    }
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/packages/daemon/src/CallerRoutes.cpp
+++ b/packages/daemon/src/CallerRoutes.cpp
@@ -107,7 +107,7 @@
     AccountQuery query;
     if (target.path.size() > accountPrefix.size()) {
         LastReason reason;
-        const auto id = parseRequestId(target.path.substr(accountPrefix.size()), reason);
+        const auto id = parseAccountId(target.path.substr(accountPrefix.size()), reason);
         if (!id) {
             refuse(request.exchange, { .code = reason.code, .detail = reason.detail });
             return;
--- a/packages/daemon/src/KeyedRequests.cpp
+++ b/packages/daemon/src/KeyedRequests.cpp
@@ -21,7 +21,7 @@
         constexpr const char* entryHost = "X-Relay-Entry-Host";
         constexpr const char* httpStatus = "X-Relay-Http-Status";
         constexpr const char* retryAfter = "X-Relay-Retry-After-Ms";
-        constexpr const char* replayOf = "X-Relay-Replay-Of";
+        constexpr const char* repeatOf = "X-Relay-Repeat-Of";
         constexpr const char* responseKept = "X-Relay-Response-Kept";
     }
 
@@ -78,7 +78,7 @@
     {
         RespondWhole response { .exchange = exchange, .status = statusOk, .headers = {}, .body = answer.response };
         response.headers = {
-            { .name = header::requestId, .value = formatRequestId(answer.request) },
+            { .name = header::requestId, .value = answer.id },
             { .name = header::resultCode, .value = std::to_string(static_cast<int>(answer.result)) },
             { .name = header::runState, .value = std::to_string(static_cast<int>(answer.runState)) },
             { .name = relay_header::httpStatus, .value = std::to_string(answer.httpStatus) },
@@ -87,21 +87,20 @@
         if (answer.retryAfter) {
             response.headers.push_back({ .name = relay_header::retryAfter, .value = std::to_string(answer.retryAfter->count()) });
         }
-        if (answer.replayOf) {
-            response.headers.push_back({ .name = relay_header::replayOf, .value = formatRequestId(*answer.replayOf) });
+        if (answer.repeatOf) {
+            response.headers.push_back({ .name = relay_header::repeatOf, .value = formatRequestId(*answer.repeatOf) });
         }
         return response;
     }
 
     std::optional<AnswerRequest> answerOfOwner(const TransferEnded& ended)
     {
-        LastReason reason;
-        const auto id = parseRequestId(text(ended.headers, header::requestId), reason);
-        if (ended.status != statusOk || !id) {
+        const std::string id = text(ended.headers, header::requestId);
+        if (ended.status != statusOk || id.empty()) {
             return std::nullopt;
         }
         AnswerRequest answer;
-        answer.request = *id;
+        answer.id = id;
         answer.result = static_cast<ResultCode>(number(ended.headers, header::resultCode, static_cast<int>(ResultCode::InternalError)));
         answer.runState = static_cast<RunState>(number(ended.headers, header::runState, static_cast<int>(RunState::MayHaveRun)));
         answer.httpStatus = static_cast<int>(number(ended.headers, relay_header::httpStatus, 0));
@@ -110,7 +109,8 @@
         if (const int64_t retryAfter = number(ended.headers, relay_header::retryAfter, 0)) {
             answer.retryAfter = std::chrono::milliseconds { retryAfter };
         }
-        answer.replayOf = parseRequestId(text(ended.headers, relay_header::replayOf), reason);
+        LastReason reason;
+        answer.repeatOf = parseRequestId(text(ended.headers, relay_header::repeatOf), reason);
         return answer;
     }
 
@@ -190,7 +190,7 @@
 
 void KeyedRequests::answerCaller(ExchangeId exchange, const AnswerRequest& answer)
 {
-    const std::string id = formatRequestId(answer.request);
+    const std::string& id = answer.id;
     const bool isBackendAnswer = answer.runState == RunState::Ran;
     if (!isBackendAnswer) {
         sendRefusal(m_context, m_context.callers, exchange, id, { .code = answer.result, .runState = answer.runState, .retryAfter = answer.retryAfter });
@@ -203,8 +203,8 @@
         { .name = header::resultCode, .value = std::to_string(static_cast<int>(answer.result)) },
         { .name = header::runState, .value = std::string { runStateName(answer.runState) } },
     };
-    if (answer.replayOf) {
-        response.headers.push_back({ .name = header::replayOf, .value = formatRequestId(*answer.replayOf) });
+    if (answer.repeatOf) {
+        response.headers.push_back({ .name = header::replayOf, .value = formatRequestId(*answer.repeatOf) });
     }
     if (!answer.responseKept) {
         response.headers.push_back({ .name = header::responseNotKept, .value = "1" });
--- a/packages/daemon/src/OperatorRoutes.cpp
+++ b/packages/daemon/src/OperatorRoutes.cpp
@@ -43,7 +43,7 @@
     const Target target = splitTarget(request.target);
     if (target.path.size() > accountsPath.size() + 1) {
         LastReason reason;
-        const auto id = parseRequestId(target.path.substr(accountsPath.size() + 1), reason);
+        const auto id = parseAccountId(target.path.substr(accountsPath.size() + 1), reason);
         if (!id) {
             sendRefusal(m_context, m_context.peerCallers, request.exchange, "", { .code = reason.code, .detail = reason.detail });
             return;
--- a/packages/daemon/src/OwnerDesk.cpp
+++ b/packages/daemon/src/OwnerDesk.cpp
@@ -34,6 +34,7 @@
     m_pending.emplace(id, Pending { .request = request, .done = std::move(done), .excluded = {}, .backendServer = {} });
     raise(RequestArrived {
         .request = id,
+        .refusalId = m_register.refusalId(),
         .key = request.key,
         .digest = digestOf(request.method, request.service + request.path, request.body),
         .service = request.service,
--- a/packages/decisions/include/siskinspread/AtMostOnce.h
+++ b/packages/decisions/include/siskinspread/AtMostOnce.h
@@ -77,6 +77,7 @@
 /** A non-repeatable request arrived, from a caller or relayed by the entry host. */
 struct RequestArrived {
     RequestId request; /**< Issued by this incarnation, for this try only. */
+    std::string refusalId; /**< Issued for this try as well: for answers of a try that leaves no entry in the log. */
     IdempotencyKey key;
     BodyDigest digest;
     std::string service;
@@ -161,6 +162,7 @@
 /** The answer of this request, once for each. */
 struct AnswerRequest {
     RequestId request;
+    std::string id; /**< What the caller is told; the account stands under parseAccountId of it. */
     std::string entryHost;
     ResultCode result { ResultCode::Ok };
     RunState runState { RunState::NotRun };
@@ -168,7 +170,7 @@
     std::string response;
     bool responseKept { true }; /**< False in a replay whose response is not held any longer. */
     std::optional<std::chrono::milliseconds> retryAfter; /**< Set when the result table says that the code is retryable. */
-    std::optional<RequestId> replayOf;
+    std::optional<RequestId> repeatOf; /**< The request that held the key already, whose account is that of this try. */
 };
 
 using AtMostOnceAction = std::variant<RecordIntent, RecordOutcome, RecordAccount, DispatchRequest, AnswerRequest>;
--- a/packages/decisions/include/siskinspread/IncarnationLogEntries.h
+++ b/packages/decisions/include/siskinspread/IncarnationLogEntries.h
@@ -55,7 +55,6 @@
     WallTime acceptedAt {};
     WallTime finishedAt {};
     std::string entryHost;
-    std::optional<RequestId> replayOf; /**< The request whose recorded outcome was given as the answer. */
     bool operator==(const AccountEntry&) const = default;
 };
 
--- a/packages/decisions/src/Accounts.cpp
+++ b/packages/decisions/src/Accounts.cpp
@@ -134,7 +134,7 @@
     answer.standing = settled ? AccountStanding::Final : AccountStanding::InProgress;
     answer.account = record.outcome.account;
     if (!settled) {
-        answer.account = { .request = record.request, .customer = answer.key->customer, .service = record.service, .result = ResultCode::KeyInProgress, .runState = RunState::MayHaveRun, .attempts = record.attempts, .backendServers = record.backendServers, .acceptedAt = record.acceptedAt, .finishedAt = {}, .entryHost = record.entryHost, .replayOf = {} };
+        answer.account = { .request = record.request, .customer = answer.key->customer, .service = record.service, .result = ResultCode::KeyInProgress, .runState = RunState::MayHaveRun, .attempts = record.attempts, .backendServers = record.backendServers, .acceptedAt = record.acceptedAt, .finishedAt = {}, .entryHost = record.entryHost };
     }
     if (settled && answer.account.runState == RunState::MayHaveRun) {
         answer.advice = askBackendServer;
--- a/packages/decisions/src/AtMostOnce.cpp
+++ b/packages/decisions/src/AtMostOnce.cpp
@@ -23,11 +23,11 @@
         {
             const auto known = m_state.keys.find(event.key);
             if (m_state.logEnded) {
-                refuse(event, ResultCode::LogClosed, RunState::NotRun);
+                refuse(event, ResultCode::LogClosed);
             } else if (known != m_state.keys.end() && m_state.slices.contains(known->second.slice)) {
                 repeat(event, known->second);
             } else if (const auto reason = reasonToRefuse(m_state, m_options, event, m_now)) {
-                refuse(event, *reason, *reason == ResultCode::SliceHistoryIncomplete ? RunState::MayHaveRun : RunState::NotRun);
+                refuse(event, *reason);
             } else {
                 accept(event);
             }
@@ -208,30 +208,57 @@
         void repeat(const RequestArrived& event, const KeyRecord& record)
         {
             if (record.digest != event.digest) {
-                refuse(event, ResultCode::IdempotencyKeyReused, RunState::NotRun);
-            } else if (record.phase == KeyPhase::Unknown) {
-                refuse(event, ResultCode::OutcomeUnknown, RunState::MayHaveRun, record.request);
+                refuse(event, ResultCode::IdempotencyKeyReused);
             } else if (record.phase == KeyPhase::Finished) {
                 replay(event, record);
             } else {
-                refuse(event, ResultCode::KeyInProgress, RunState::MayHaveRun);
+                const ResultCode code = record.phase == KeyPhase::Unknown ? ResultCode::OutcomeUnknown : ResultCode::KeyInProgress;
+                AnswerRequest answer = answerWithoutEntry(event, formatRepeatId(record.request, event.refusalId), code);
+                answer.repeatOf = record.request;
+                m_actions.emplace_back(std::move(answer));
             }
         }
 
         void replay(const RequestArrived& event, const KeyRecord& record)
         {
-            KeyRecord again = recordOf(event);
-            AccountEntry account = accountOf(again, record.outcome.account.result, RunState::Ran);
-            account.replayOf = record.request;
-            answer(again, account, record.outcome.httpStatus, record.outcome.response, record.outcome.responseKept);
-            m_actions.emplace_back(RecordAccount { .entry = account });
+            const OutcomeEntry& outcome = record.outcome;
+            AnswerRequest answer = answerWithoutEntry(event, formatRepeatId(record.request, event.refusalId), outcome.account.result);
+            answer.runState = RunState::Ran;
+            answer.httpStatus = outcome.httpStatus;
+            answer.response = outcome.response;
+            answer.responseKept = outcome.responseKept;
+            answer.repeatOf = record.request;
+            m_actions.emplace_back(std::move(answer));
         }
 
-        void refuse(const RequestArrived& event, ResultCode code, RunState runState, const std::optional<RequestId>& replayOf = {})
+        /**
+         * An answer that says more than "not run" of a try that was not dispatched. An odd id without an entry reads as
+         * "not run", so it goes under another id.
+         */
+        AnswerRequest answerWithoutEntry(const RequestArrived& event, std::string id, ResultCode code) const
         {
+            return AnswerRequest {
+                .request = event.request,
+                .id = std::move(id),
+                .entryHost = event.entryHost,
+                .result = code,
+                .runState = RunState::MayHaveRun,
+                .httpStatus = resultInfo(code).httpStatus,
+                .response = {},
+                .retryAfter = retryAfterOf(code, m_options),
+                .repeatOf = std::nullopt,
+            };
+        }
+
+        /** A refusal before acceptance. "Not run" holds whether or not its account reaches the log. */
+        void refuse(const RequestArrived& event, ResultCode code)
+        {
+            if (code == ResultCode::SliceHistoryIncomplete) {
+                m_actions.emplace_back(answerWithoutEntry(event, event.refusalId, code));
+                return;
+            }
             KeyRecord refused = recordOf(event);
-            AccountEntry account = accountOf(refused, code, runState);
-            account.replayOf = replayOf;
+            const AccountEntry account = accountOf(refused, code, RunState::NotRun);
             answer(refused, account, resultInfo(code).httpStatus, {}, true);
             if (!m_state.logEnded) {
                 m_actions.emplace_back(RecordAccount { .entry = account });
@@ -305,7 +332,6 @@
                 .acceptedAt = record.acceptedAt,
                 .finishedAt = m_now.wall,
                 .entryHost = record.entryHost,
-                .replayOf = std::nullopt,
             };
         }
 
@@ -323,6 +349,7 @@
             record.answered = true;
             m_actions.emplace_back(AnswerRequest {
                 .request = record.request,
+                .id = formatRequestId(record.request),
                 .entryHost = record.entryHost,
                 .result = account.result,
                 .runState = account.runState,
@@ -330,7 +357,7 @@
                 .response = response,
                 .responseKept = responseKept,
                 .retryAfter = retryAfterOf(account.result, m_options),
-                .replayOf = account.replayOf,
+                .repeatOf = std::nullopt,
             });
         }
 
--- a/packages/decisions/src/AtMostOnceNaive.cpp
+++ b/packages/decisions/src/AtMostOnceNaive.cpp
@@ -76,6 +76,7 @@
         {
             m_actions.emplace_back(AnswerRequest {
                 .request = request,
+                .id = formatRequestId(request),
                 .entryHost = {},
                 .result = result,
                 .runState = runState,
@@ -83,7 +84,7 @@
                 .response = response,
                 .responseKept = true,
                 .retryAfter = retryAfterOf(result, m_options),
-                .replayOf = std::nullopt,
+                .repeatOf = std::nullopt,
             });
         }
 
--- a/packages/decisions/src/IncarnationLogEntries.cpp
+++ b/packages/decisions/src/IncarnationLogEntries.cpp
@@ -23,7 +23,7 @@
         for (const std::string& backendServer : entry.backendServers) {
             bytes += backendServer.size() + 4;
         }
-        return bytes + (entry.replayOf ? sizeOf(*entry.replayOf) : 0);
+        return bytes;
     }
 
     size_t sizeOf(const OutcomeEntry& entry)
--- a/packages/records/src/RecordCodec.cpp
+++ b/packages/records/src/RecordCodec.cpp
@@ -80,9 +80,6 @@
         out.set_accepted_at_us(microseconds(entry.acceptedAt));
         out.set_finished_at_us(microseconds(entry.finishedAt));
         out.set_entry_host(entry.entryHost);
-        if (entry.replayOf) {
-            write(*entry.replayOf, *out.mutable_replay_of());
-        }
     }
 
     AccountEntry read(const schema::AccountRecord& in)
@@ -98,7 +95,6 @@
             .acceptedAt = wallTime(in.accepted_at_us()),
             .finishedAt = wallTime(in.finished_at_us()),
             .entryHost = in.entry_host(),
-            .replayOf = in.has_replay_of() ? std::optional { read(in.replay_of()) } : std::nullopt,
         };
     }
 
--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -32,6 +32,9 @@
     const HttpResponse later = hold(deployment, 2, "hold-1");
     CHECK(later.status == 200);
     CHECK(later.header("x-replay-of") != "");
+    const auto account = deployment.finalAccount(1, later.header("x-request-id"));
+    CHECK(account.at("request_id") == later.header("x-replay-of"));
+    CHECK(account.at("run_state") == "ran");
     CHECK(runs(deployment, "hold-1") == 1);
 }
 
