Name the backend servers that a request may be sent to in its intent

Cause: the account of a request whose owner died after dispatch said 0 attempts and no backend server, though one had been sent the call.

Ruled out (docs/design/accounts.md): an entry before each dispatch (a group commit more for each request), a further entry before a retry elsewhere (refused with the store away), "at least one" (names the wrong server after a retry). Change: the candidates are chosen before the intent is recorded, stand in it, and no other server is ever sent the request. The account of a dead owner's request says attempts unknown, where it may have been sent, and whom to ask for the key in which order; an id without an entry that may have run has unknown attempts, too. Without any candidate a request is refused at arrival. An attempt that found no usable server no longer counts as one with an unnamed server.

Checks: in the model, known attempts equal the dispatches and the server that ran a request is among those its account names.

--- a/packages/ctl/src/PresentJson.cpp
+++ b/packages/ctl/src/PresentJson.cpp
@@ -129,8 +129,9 @@
     object["run_state"] = runStateName(account.runState);
     addTime(object, "accepted", account.acceptedAt);
     addTime(object, "finished", account.finishedAt);
-    object["attempts"] = account.attempts;
+    object["attempts"] = account.attemptsKnown ? Json(account.attempts) : Json(nullptr);
     object["backend_servers"] = account.backendServers;
+    object["may_have_been_sent_to"] = account.candidates;
     object["entry_host"] = account.entryHost;
     object["recorded_by"] = answer.recordedBy;
     object["advice"] = answer.advice;
--- a/packages/ctl/src/PresentText.cpp
+++ b/packages/ctl/src/PresentText.cpp
@@ -113,10 +113,13 @@
     }
     text += line("run", fmt::format("{}{}", describeRun(account.runState), open ? " so far" : ""));
     text += timeLine("accepted", account.acceptedAt) + timeLine("finished", account.finishedAt);
-    text += line("attempts", std::to_string(account.attempts));
+    text += line("attempts", account.attemptsKnown ? std::to_string(account.attempts) : "unknown");
     for (const std::string& server : account.backendServers) {
         text += line("sent to", server);
     }
+    for (const std::string& server : account.candidates) {
+        text += line("maybe sent to", server);
+    }
     text += line("entry host", account.entryHost) + line("recorded by", answer.recordedBy);
     return answer.advice.empty() ? text : text + line("advice", answer.advice);
 }
--- a/packages/ctl/tests/RunCommandTest.cpp
+++ b/packages/ctl/tests/RunCommandTest.cpp
@@ -193,6 +193,22 @@
     CHECK(json["backend_servers"][0] == "ledger-01");
 }
 
+TEST_CASE("attempts that are not known are told as such, with every backend server that may have been sent the request")
+{
+    AccountAnswer answer;
+    answer.standing = AccountStanding::Final;
+    answer.account.runState = RunState::MayHaveRun;
+    answer.account.attemptsKnown = false;
+    answer.account.candidates = { "ledger-02", "ledger-01" };
+    MockOperatorApi api;
+    ALLOW_CALL(api, account(trompeloeil::_, trompeloeil::_)).RETURN(answer);
+    const std::string text = run({ "account", "--entry-host", host, requestId }, api).output;
+    CHECK(text.find("attempts      unknown\nmaybe sent to ledger-02\nmaybe sent to ledger-01\n") != std::string::npos);
+    const auto json = nlohmann::json::parse(run({ "account", "--output", "json", "--entry-host", host, requestId }, api).output);
+    CHECK(json["attempts"].is_null());
+    CHECK(json["may_have_been_sent_to"] == nlohmann::json { "ledger-02", "ledger-01" });
+}
+
 TEST_CASE("an account may be asked for by key, and an open request has no result yet")
 {
     AccountAnswer open;
--- a/packages/daemon/include/siskinspread/OwnerDesk.h
+++ b/packages/daemon/include/siskinspread/OwnerDesk.h
@@ -63,6 +63,7 @@
         std::string backendServer; /**< Of the attempt in progress. */
     };
 
+    std::vector<std::string> candidatesOf(const OwnedRequest&);
     void raise(const AtMostOnceEvent&);
     void raise(const AtMostOnceEvent&, MonotonicTime now);
     void run(const RecordIntent&);
--- a/packages/daemon/src/AccountLookups.cpp
+++ b/packages/daemon/src/AccountLookups.cpp
@@ -135,8 +135,9 @@
     if (answer.standing != AccountStanding::NotFound) {
         json["customer"] = account.customer;
         json["service"] = account.service;
-        json["attempts"] = account.attempts;
+        json["attempts"] = account.attemptsKnown ? nlohmann::json(account.attempts) : nlohmann::json(nullptr);
         json["backend_servers"] = account.backendServers;
+        json["may_have_been_sent_to"] = account.candidates;
         json["accepted_at"] = timeJson(account.acceptedAt);
         json["entry_host"] = account.entryHost;
     }
--- a/packages/daemon/src/OwnerDesk.cpp
+++ b/packages/daemon/src/OwnerDesk.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/OwnerDesk.h"
 
 #include "siskinspread/CallerResponse.h"
+#include "siskinspread/CandidateServers.h"
 
 #include <algorithm>
 
@@ -12,6 +13,8 @@
     // A call that ends later than this is held to be lost; its outcome is then unknown.
     constexpr std::chrono::milliseconds longestCall { 60'000 };
 
+    constexpr size_t spareCandidates = 1;
+
     ResultCode resultOf(int status)
     {
         return status < statusFirstServerError ? ResultCode::Ok : ResultCode::BackendError;
@@ -39,11 +42,22 @@
         .digest = digestOf(request.method, request.service + request.path, request.body),
         .service = request.service,
         .entryHost = request.entryHost,
+        .candidates = candidatesOf(request),
         .deadline = m_context.now + request.timeLeft,
     });
     return id;
 }
 
+/** More than the attempts that are allowed, for a server that leaves while the intent is being recorded. */
+std::vector<std::string> OwnerDesk::candidatesOf(const OwnedRequest& request)
+{
+    const ServicePool* pool = m_pools.find(request.service);
+    if (!pool) {
+        return {};
+    }
+    return chooseCandidates(pool->view, { .blocks = {}, .deadline = m_context.now + request.timeLeft, .seed = nextSeed(m_context) }, pool->routing, pool->attempts.maximumAttempts + spareCandidates, m_context.now);
+}
+
 void OwnerDesk::takeSlice(const SliceTaken& event)
 {
     raise(event);
@@ -120,16 +134,12 @@
     }
     Pending& pending = entry->second;
     ServicePool* pool = m_pools.find(pending.request.service);
-    LastReason reason { .code = ResultCode::UnknownService, .detail = {} };
-    std::optional<RouteChoice> choice;
-    if (pool) {
-        choice = chooseBackendServer(pool->view, { .blocks = {}, .deadline = action.deadline, .excluded = pending.excluded, .seed = nextSeed(m_context) }, pool->routing, m_context.now, reason);
-    }
+    const auto choice = pool ? firstUsable(pool->view, action.candidates, pending.excluded, m_context.now) : std::nullopt;
     if (!choice) {
-        raise(AttemptNotRun { .request = action.request, .attempt = action.attempt, .backendServer = {}, .reason = reason.code, .retryAllowed = false });
+        raise(AttemptNotRun { .request = action.request, .attempt = action.attempt, .backendServer = {}, .reason = ResultCode::NoBackendServer, .retryAllowed = false });
         return;
     }
-    BackendServerView& server = pool->view.servers[choice->index];
+    BackendServerView& server = pool->view.servers[*choice];
     recordDispatch(server, 0, m_context.now);
     if (action.attempt == 1) {
         depositRetryTokens(pool->retries, pending.request.key.customer, m_context.now);
--- a/packages/decisions/include/siskinspread/AtMostOnce.h
+++ b/packages/decisions/include/siskinspread/AtMostOnce.h
@@ -47,6 +47,7 @@
     uint32_t slice { 0 };
     std::string service;
     std::string entryHost;
+    std::vector<std::string> candidates;
     WallTime acceptedAt {};
     MonotonicTime deadline {};
     uint32_t attempts { 0 };
@@ -82,6 +83,7 @@
     BodyDigest digest;
     std::string service;
     std::string entryHost;
+    std::vector<std::string> candidates; /**< Backend servers that may be sent the request, the first choice first. */
     MonotonicTime deadline {};
 };
 struct IntentDurable {
@@ -95,7 +97,7 @@
 struct AttemptNotRun {
     RequestId request;
     uint32_t attempt { 0 };
-    std::string backendServer;
+    std::string backendServer; /**< Empty when no candidate was usable. */
     ResultCode reason { ResultCode::BackendRefused };
     bool retryAllowed { false }; /**< The retry budget grants another attempt. */
 };
@@ -153,10 +155,11 @@
 struct RecordAccount {
     AccountEntry entry;
 };
-/** Send the request to a backend server once; ends in AttemptNotRun, AttemptAnswered or AttemptUnknown. */
+/** Send the request once to one of the candidates, which its intent names; ends in AttemptNotRun, AttemptAnswered or AttemptUnknown. */
 struct DispatchRequest {
     RequestId request;
     uint32_t attempt { 0 }; /**< Counted from 1. */
+    std::vector<std::string> candidates;
     MonotonicTime deadline {};
 };
 /** The answer of this request, once for each. */
--- a/packages/decisions/include/siskinspread/IncarnationLogEntries.h
+++ b/packages/decisions/include/siskinspread/IncarnationLogEntries.h
@@ -39,6 +39,7 @@
     uint32_t slice { 0 };
     std::string service;
     std::string entryHost; /**< The host that the caller is connected to. */
+    std::vector<std::string> candidates; /**< The only backend servers that it is ever sent to, the first choice first. */
     WallTime recordedAt {};
     bool operator==(const IntentEntry&) const = default;
 };
@@ -50,8 +51,10 @@
     std::string service;
     ResultCode result { ResultCode::Ok };
     RunState runState { RunState::NotRun };
-    uint32_t attempts { 0 };
-    std::vector<std::string> backendServers; /**< In the order of the attempts. */
+    bool attemptsKnown { true };
+    uint32_t attempts { 0 }; /**< Only where they are known. */
+    std::vector<std::string> backendServers; /**< In the order of the attempts that ended, as far as they are known. */
+    std::vector<std::string> candidates; /**< Without a recorded outcome: where the request may have been sent, the first choice first. */
     WallTime acceptedAt {};
     WallTime finishedAt {};
     std::string entryHost;
--- a/packages/decisions/src/Accounts.cpp
+++ b/packages/decisions/src/Accounts.cpp
@@ -6,11 +6,22 @@
 
 namespace {
 
-    constexpr const char* askBackendServer = "Ask the backend server for its record of the idempotency key.";
     constexpr const char* askByKey = "This try was not dispatched; look up the idempotency key for the other tries.";
     constexpr const char* askLater = "The host that serves the request cannot be reached; ask again later.";
     constexpr const char* askCaller = "No record is left; a request of this kind may have been dispatched before its host ended.";
 
+    /** What to ask about a request that may have run. */
+    std::string askBackendServers(const AccountEntry& account)
+    {
+        // Every attempt before the last one provably did not run.
+        const std::vector<std::string> asked = account.attemptsKnown && !account.backendServers.empty() ? std::vector { account.backendServers.back() } : account.candidates;
+        std::string text = "Ask " + (asked.empty() ? "the backend server" : asked.front()) + " for its record of the idempotency key";
+        for (size_t index = 1; index < asked.size(); ++index) {
+            text += (index == 1 ? "; if it has none, " : ", then ") + asked[index];
+        }
+        return text + ".";
+    }
+
     /** What one log says of one request. */
     struct Trace {
         const IntentEntry* intent { nullptr };
@@ -45,7 +56,7 @@
         }
         answer.account = trace.account ? *trace.account : interruptedOutcome(*trace.intent).account;
         if (answer.account.runState == RunState::MayHaveRun) {
-            answer.advice = askBackendServer;
+            answer.advice = askBackendServers(answer.account);
         }
         return answer;
     }
@@ -58,6 +69,7 @@
         answer.account.request = request;
         answer.account.result = ResultCode::Interrupted;
         answer.account.runState = notRun ? RunState::NotRun : RunState::MayHaveRun;
+        answer.account.attemptsKnown = notRun;
         answer.advice = notRun ? askByKey : askCaller;
         return answer;
     }
@@ -134,10 +146,10 @@
     answer.standing = settled ? AccountStanding::Final : AccountStanding::InProgress;
     answer.account = record.outcome.account;
     if (!settled) {
-        answer.account = { .request = record.request, .customer = answer.key->customer, .service = record.service, .result = ResultCode::KeyInProgress, .runState = RunState::MayHaveRun, .attempts = record.attempts, .backendServers = record.backendServers, .acceptedAt = record.acceptedAt, .finishedAt = {}, .entryHost = record.entryHost };
+        answer.account = { .request = record.request, .customer = answer.key->customer, .service = record.service, .result = ResultCode::KeyInProgress, .runState = RunState::MayHaveRun, .attempts = record.attempts, .backendServers = record.backendServers, .candidates = record.candidates, .acceptedAt = record.acceptedAt, .finishedAt = {}, .entryHost = record.entryHost };
     }
     if (settled && answer.account.runState == RunState::MayHaveRun) {
-        answer.advice = askBackendServer;
+        answer.advice = askBackendServers(answer.account);
     }
     return answer;
 }
--- a/packages/decisions/src/AtMostOnce.cpp
+++ b/packages/decisions/src/AtMostOnce.cpp
@@ -67,7 +67,11 @@
             if (!record) {
                 return;
             }
-            record->backendServers.push_back(event.backendServer);
+            if (event.backendServer.empty()) {
+                --record->attempts; // no candidate was usable
+            } else {
+                record->backendServers.push_back(event.backendServer);
+            }
             const bool again = event.retryAllowed && !m_state.logEnded && m_now.monotonic < record->deadline;
             if (again) {
                 dispatch(*record);
@@ -104,6 +108,7 @@
                 release(event.request);
                 return;
             }
+            record->candidates = {};
             record->phase = record->outcome.account.runState == RunState::Ran ? KeyPhase::Finished : KeyPhase::Unknown;
             if (!record->outcome.responseKept) {
                 record->outcome.response.clear();
@@ -186,6 +191,7 @@
                                                          .slice = slice,
                                                          .service = event.service,
                                                          .entryHost = event.entryHost,
+                                                         .candidates = event.candidates,
                                                          .acceptedAt = m_now.wall,
                                                          .deadline = event.deadline,
                                                          .backendServers = {},
@@ -200,6 +206,7 @@
                                                       .slice = slice,
                                                       .service = event.service,
                                                       .entryHost = event.entryHost,
+                                                      .candidates = event.candidates,
                                                       .recordedAt = m_now.wall,
                                                   } });
         }
@@ -273,6 +280,7 @@
                 .digest = event.digest,
                 .service = event.service,
                 .entryHost = event.entryHost,
+                .candidates = {},
                 .acceptedAt = m_now.wall,
                 .backendServers = {},
                 .outcome = { .account = {}, .key = event.key, .httpStatus = 0, .response = {} },
@@ -282,7 +290,7 @@
         void dispatch(KeyRecord& record)
         {
             ++record.attempts;
-            m_actions.emplace_back(DispatchRequest { .request = record.request, .attempt = record.attempts, .deadline = record.deadline });
+            m_actions.emplace_back(DispatchRequest { .request = record.request, .attempt = record.attempts, .candidates = record.candidates, .deadline = record.deadline });
         }
 
         void abandon(KeyRecord& record, ResultCode code)
@@ -329,6 +337,7 @@
                 .runState = runState,
                 .attempts = record.attempts,
                 .backendServers = record.backendServers,
+                .candidates = {},
                 .acceptedAt = record.acceptedAt,
                 .finishedAt = m_now.wall,
                 .entryHost = record.entryHost,
--- a/packages/decisions/src/AtMostOnceAdmission.cpp
+++ b/packages/decisions/src/AtMostOnceAdmission.cpp
@@ -29,6 +29,9 @@
     if (now.monotonic >= event.deadline) {
         return ResultCode::DeadlineExpired;
     }
+    if (event.candidates.empty()) {
+        return ResultCode::NoBackendServer;
+    }
     return std::nullopt;
 }
 
--- a/packages/decisions/src/AtMostOnceNaive.cpp
+++ b/packages/decisions/src/AtMostOnceNaive.cpp
@@ -23,7 +23,7 @@
             if (known == m_state.keys.end()) {
                 m_state.keys.emplace(event.key, std::nullopt);
                 m_state.requests.emplace(event.request, event.key);
-                m_actions.emplace_back(DispatchRequest { .request = event.request, .attempt = 1, .deadline = event.deadline });
+                m_actions.emplace_back(DispatchRequest { .request = event.request, .attempt = 1, .candidates = event.candidates, .deadline = event.deadline });
             } else if (!known->second) {
                 answer(event.request, ResultCode::KeyInProgress, RunState::MayHaveRun, {});
             } else {
--- a/packages/decisions/src/IncarnationLogEntries.cpp
+++ b/packages/decisions/src/IncarnationLogEntries.cpp
@@ -12,18 +12,23 @@
         return id.incarnation.text.size() + 20;
     }
 
+    size_t sizeOf(const std::vector<std::string>& names)
+    {
+        size_t bytes = 0;
+        for (const std::string& name : names) {
+            bytes += name.size() + 4;
+        }
+        return bytes;
+    }
+
     size_t sizeOf(const IntentEntry& entry)
     {
-        return sizeOf(entry.request) + entry.key.customer.size() + entry.key.text.size() + entry.service.size() + entry.entryHost.size();
+        return sizeOf(entry.request) + sizeOf(entry.candidates) + entry.key.customer.size() + entry.key.text.size() + entry.service.size() + entry.entryHost.size();
     }
 
     size_t sizeOf(const AccountEntry& entry)
     {
-        size_t bytes = sizeOf(entry.request) + entry.customer.size() + entry.service.size() + entry.entryHost.size();
-        for (const std::string& backendServer : entry.backendServers) {
-            bytes += backendServer.size() + 4;
-        }
-        return bytes;
+        return sizeOf(entry.request) + entry.customer.size() + entry.service.size() + entry.entryHost.size() + sizeOf(entry.backendServers) + sizeOf(entry.candidates);
     }
 
     size_t sizeOf(const OutcomeEntry& entry)
--- a/packages/decisions/tests/AtMostOnceModel.cpp
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -267,6 +267,7 @@
                          .digest = { .high = 0, .low = otherBody ? 2U : 1U },
                          .service = "booking",
                          .entryHost = "entry",
+                         .candidates = { "b" + std::to_string(keyNumber % 3), "b" + std::to_string((keyNumber + 1) % 3) },
                          .deadline = now().monotonic + requestTimeout,
                      });
 }
@@ -304,11 +305,13 @@
 {
     const RequestId request = action.request;
     const uint32_t attempt = action.attempt;
-    const auto atBackend = [this, node, request, attempt] {
+    const std::string server = action.candidates[attempt % action.candidates.size()];
+    ++m_told[request].dispatched;
+    const auto atBackend = [this, node, request, attempt, server] {
         Told& about = m_told[request];
         AtMostOnceEvent event;
         if (m_choice % 4 == 3) {
-            event = AttemptNotRun { .request = request, .attempt = attempt, .backendServer = "b", .reason = ResultCode::BackendRefused, .retryAllowed = attempt < 3 };
+            event = AttemptNotRun { .request = request, .attempt = attempt, .backendServer = server, .reason = ResultCode::BackendRefused, .retryAllowed = attempt < 3 };
         } else {
             ++m_runs[about.key];
             const bool added = m_effects.emplace(about.key, request).second;
@@ -319,19 +322,20 @@
                 violate("b: " + formatRequestId(request) + " ran after it was told not run");
             }
             about.ran = true;
+            about.ranAt = server;
             ++m_coverage.ran;
             m_coverage.ranAfterLogClosed += std::any_of(m_batches.begin(), m_batches.end(), [&](const auto& batch) {
                 return batch.first.first == request.incarnation && closingEntry(batch.second);
             })
                 ? 1
                 : 0;
-            event = AttemptAnswered { .request = request, .attempt = attempt, .backendServer = "b", .result = ResultCode::Ok, .httpStatus = 200, .response = formatRequestId(request) };
+            event = AttemptAnswered { .request = request, .attempt = attempt, .backendServer = server, .result = ResultCode::Ok, .httpStatus = 200, .response = formatRequestId(request) };
         }
         const auto arrived = [this, node, event] { ownerEvent(node, event); };
-        const auto lost = [this, node, request, attempt] { ownerEvent(node, AttemptUnknown { .request = request, .attempt = attempt, .backendServer = "b" }); };
+        const auto lost = [this, node, request, attempt, server] { ownerEvent(node, AttemptUnknown { .request = request, .attempt = attempt, .backendServer = server }); };
         m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Backend, .answer = true, .effect = arrived, .failed = lost });
     };
-    const auto lost = [this, node, request, attempt] { ownerEvent(node, AttemptUnknown { .request = request, .attempt = attempt, .backendServer = "b" }); };
+    const auto lost = [this, node, request, attempt, server] { ownerEvent(node, AttemptUnknown { .request = request, .attempt = attempt, .backendServer = server }); };
     m_messages.push_back({ .sender = node, .receiver = node, .channel = Channel::Backend, .answer = false, .effect = atBackend, .failed = lost });
 }
 
--- a/packages/decisions/tests/AtMostOnceModel.h
+++ b/packages/decisions/tests/AtMostOnceModel.h
@@ -35,6 +35,7 @@
     size_t logLostAlive { 0 };
     size_t ranAfterLogClosed { 0 };
     size_t finalLookups { 0 };
+    size_t attemptsUnknown { 0 }; /**< Final accounts of requests that ran and whose outcome is not on record. */
     size_t ownerAndHolderLost { 0 }; /**< Both ended at once while no host reached the store, with an open intent that only they had. */
     size_t domainLost { 0 }; /**< The same, by the end of their whole failure domain. */
     size_t ranBeforeLoss { 0 }; /**< Such an intent whose request had run. */
@@ -96,6 +97,8 @@
         std::optional<AccountAnswer> account;
         IdempotencyKey key;
         bool ran { false };
+        std::string ranAt;
+        uint32_t dispatched { 0 };
         bool triedDuringTakeover { false };
     };
 
@@ -148,6 +151,7 @@
     bool historyLoaded(Ref node, const IncarnationId& incarnation);
     void lookUp(const RequestId& request);
     AccountAnswer accountOf(const RequestId& request);
+    void checkWhereItRan(const RequestId& request, const AccountAnswer& answer);
     std::optional<RequestId> accountIdOf(const RequestId& request) const;
     void drain();
     void checkLogs();
--- a/packages/decisions/tests/AtMostOnceModelEnd.cpp
+++ b/packages/decisions/tests/AtMostOnceModelEnd.cpp
@@ -1,5 +1,7 @@
 #include "AtMostOnceModel.h"
 
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
@@ -127,6 +129,24 @@
     return std::get<LookupDone>(actions.back()).answer;
 }
 
+/** No figure that is not known, and the backend server that ran the request is among those to ask. */
+void AtMostOnceModel::checkWhereItRan(const RequestId& request, const AccountAnswer& answer)
+{
+    const Told& about = m_told.at(request);
+    const AccountEntry& account = answer.account;
+    if (account.attemptsKnown && account.attempts != about.dispatched) {
+        violate("f: attempts of " + formatRequestId(request));
+    }
+    if (!about.ran || isRecordLost(request)) {
+        return;
+    }
+    m_coverage.attemptsUnknown += account.attemptsKnown ? 0 : 1;
+    const std::vector<std::string>& named = account.attemptsKnown ? account.backendServers : account.candidates;
+    if (std::find(named.begin(), named.end(), about.ranAt) == named.end()) {
+        violate("f: the backend server that ran " + formatRequestId(request));
+    }
+}
+
 void AtMostOnceModel::lookUp(const RequestId& request)
 {
     Told& about = m_told[request];
@@ -143,6 +163,7 @@
     const bool historyLost = m_copied.contains(*of) && m_sealed.contains(of->incarnation) && !m_sealed[of->incarnation].complete;
     if (answer.standing == AccountStanding::Final) {
         ++m_coverage.finalLookups;
+        checkWhereItRan(*of, answer);
         const auto lost = m_lost.find(about.key);
         m_coverage.accountsAfterLoss += lost != m_lost.end() && lost->second == request && isRecordLost(request) ? 1 : 0;
         m_coverage.replaysAccounted += toldRan && *of != request ? 1 : 0;
--- a/packages/decisions/tests/AtMostOnceModelTest.cpp
+++ b/packages/decisions/tests/AtMostOnceModelTest.cpp
@@ -61,11 +61,11 @@
         ", owner and holder lost ", coverage.ownerAndHolderLost, ", domain lost ", coverage.domainLost, ", ran before the loss ", coverage.ranBeforeLoss,
         ", tried after the loss ", coverage.triedAfterLoss, ", accounts after the loss ", coverage.accountsAfterLoss,
         ", tried during takeover ", coverage.triedDuringTakeover, ", superseded answers ", coverage.supersededAnswers,
-        ", replays accounted ", coverage.replaysAccounted);
+        ", replays accounted ", coverage.replaysAccounted, ", attempts unknown ", coverage.attemptsUnknown);
     for (const size_t reached : { coverage.ran, coverage.replayed, coverage.unknown, coverage.notRun, coverage.takenOver, coverage.durableByCopy,
              coverage.sealedWithCopies, coverage.historyLost, coverage.logLostAlive, coverage.ranAfterLogClosed, coverage.finalLookups,
              coverage.ownerAndHolderLost, coverage.domainLost, coverage.ranBeforeLoss, coverage.triedAfterLoss, coverage.accountsAfterLoss,
-             coverage.triedDuringTakeover, coverage.supersededAnswers, coverage.replaysAccounted }) {
+             coverage.triedDuringTakeover, coverage.supersededAnswers, coverage.replaysAccounted, coverage.attemptsUnknown }) {
         CHECK(reached > 0);
     }
 }
--- a/packages/records/src/RecordCodec.cpp
+++ b/packages/records/src/RecordCodec.cpp
@@ -51,6 +51,7 @@
         out.set_service(entry.service);
         out.set_entry_host(entry.entryHost);
         out.set_recorded_at_us(microseconds(entry.recordedAt));
+        *out.mutable_candidates() = { entry.candidates.begin(), entry.candidates.end() };
     }
 
     IntentEntry read(const schema::IntentRecord& in)
@@ -62,6 +63,7 @@
             .slice = in.slice(),
             .service = in.service(),
             .entryHost = in.entry_host(),
+            .candidates = { in.candidates().begin(), in.candidates().end() },
             .recordedAt = wallTime(in.recorded_at_us()),
         };
     }
@@ -74,9 +76,9 @@
         out.set_result(static_cast<uint32_t>(entry.result));
         out.set_run_state(static_cast<uint32_t>(entry.runState));
         out.set_attempts(entry.attempts);
-        for (const std::string& server : entry.backendServers) {
-            out.add_backend_servers(server);
-        }
+        out.set_attempts_unknown(!entry.attemptsKnown);
+        *out.mutable_backend_servers() = { entry.backendServers.begin(), entry.backendServers.end() };
+        *out.mutable_candidates() = { entry.candidates.begin(), entry.candidates.end() };
         out.set_accepted_at_us(microseconds(entry.acceptedAt));
         out.set_finished_at_us(microseconds(entry.finishedAt));
         out.set_entry_host(entry.entryHost);
@@ -90,8 +92,10 @@
             .service = in.service(),
             .result = static_cast<ResultCode>(in.result()),
             .runState = static_cast<RunState>(in.run_state()),
+            .attemptsKnown = !in.attempts_unknown(),
             .attempts = in.attempts(),
             .backendServers = { in.backend_servers().begin(), in.backend_servers().end() },
+            .candidates = { in.candidates().begin(), in.candidates().end() },
             .acceptedAt = wallTime(in.accepted_at_us()),
             .finishedAt = wallTime(in.finished_at_us()),
             .entryHost = in.entry_host(),
--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -113,6 +113,15 @@
     CHECK(errorOf(second).at("name") == "outcome_unknown");
     CHECK(errorOf(second).at("run_state") == "may_have_run");
     CHECK(runs(deployment, "hold-5") <= 1);
+    for (const auto& account : { finalAccountOf(deployment, witness, "hold-5"), deployment.finalAccount(witness, second.header("x-request-id")) }) {
+        CAPTURE(account.dump());
+        CHECK(account.at("run_state") == "may_have_run");
+        CHECK(account.at("attempts").is_null());
+        CHECK(account.at("may_have_been_sent_to") == nlohmann::json { "ledger-0" });
+        CHECK(account.at("advice") == "Ask ledger-0 for its record of the idempotency key.");
+        CHECK(account.at("idempotency_key") == "hold-5");
+        CHECK(account.at("request_id").get<std::string>().starts_with(deployment.host(inFlight.owner).name + "."));
+    }
     const HttpResponse other = holdWhenOwned(deployment, witness, "hold-6");
     CHECK(other.status == 200);
     CHECK(runs(deployment, "hold-6") == 1);
@@ -149,10 +158,7 @@
 TEST_CASE("the store is away: holds go on, recorded at a second host, and their accounts are final when it is back")
 {
     Deployment deployment { twoDomains };
-    eventually("every owner has declared a copy holder", [&] {
-        const auto counters = nlohmann::json::parse(httpCall({ .url = deployment.objectApi().url("/control/counters") }).body);
-        return counters.at("writes_by_prefix").value("log", 0) >= static_cast<int>(deployment.hostCount());
-    });
+    waitForCopyHolders(deployment);
     CHECK(holdWhenOwned(deployment, 0, "hold-9").status == 200);
     deployment.objectApi().setFaults(R"({"down":true})");
     const HttpResponse during = hold(deployment, 0, "hold-9b");
--- a/tests/process/support/Holds.cpp
+++ b/tests/process/support/Holds.cpp
@@ -88,7 +88,8 @@
     size_t owner = deployment.hostCount();
     eventually("an account of " + key, [&] {
         const auto account = accountOf(deployment, asked, key);
-        if (!account || account->value("attempts", 0) < attempts) {
+        const bool isKnown = account && account->contains("attempts") && account->at("attempts").is_number();
+        if (!account || (isKnown ? account->at("attempts").get<int>() : 0) < attempts) {
             return false;
         }
         owner = recorderOf(deployment, *account);
@@ -110,6 +111,14 @@
     deployment.ledger(0).setFaults(R"({"delay_ms":)" + std::to_string(delay.count()) + "}");
 }
 
+void waitForCopyHolders(Deployment& deployment)
+{
+    eventually("every owner has declared a copy holder", [&] {
+        const auto counters = nlohmann::json::parse(httpCall({ .url = deployment.objectApi().url("/control/counters") }).body);
+        return counters.at("writes_by_prefix").value("log", 0) >= static_cast<int>(deployment.hostCount());
+    });
+}
+
 void endDelay(const Deployment& deployment)
 {
     deployment.ledger(0).setFaults(R"({"delay_ms":0})");
--- a/tests/process/support/Holds.h
+++ b/tests/process/support/Holds.h
@@ -51,6 +51,9 @@
 /** Waits until the slices have owners, then delays the ledger. */
 void prepareDelayedHolds(Deployment& deployment, std::chrono::milliseconds delay = ledgerDelay);
 
+/** Waits until each host has declared in its log who holds its copies while the store is away. */
+void waitForCopyHolders(Deployment& deployment);
+
 /** Ends the delay for calls that come later. */
 void endDelay(const Deployment& deployment);
 
