--- a/packages/daemon/src/AccountLookups.cpp
+++ b/packages/daemon/src/AccountLookups.cpp
@@ -135,8 +135,9 @@
     if (answer.standing != AccountStanding::NotFound) {
         json["customer"] = account.customer;
         json["service"] = account.service;
-        json["attempts"] = account.attempts;
+        json["attempts"] = account.attemptsKnown ? nlohmann::json(account.attempts) : nlohmann::json(nullptr);
         json["backend_servers"] = account.backendServers;
+        json["may_have_been_sent_to"] = account.candidates;
         json["accepted_at"] = timeJson(account.acceptedAt);
         json["entry_host"] = account.entryHost;
     }
@@ -149,9 +150,6 @@
     if (answer.key) {
         json["idempotency_key"] = answer.key->text;
     }
-    if (account.replayOf) {
-        json["replay_of"] = formatRequestId(*account.replayOf);
-    }
     return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/packages/decisions/include/siskinspread/AtMostOnce.h
+++ b/packages/decisions/include/siskinspread/AtMostOnce.h
@@ -47,6 +47,7 @@
     uint32_t slice { 0 };
     std::string service;
     std::string entryHost;
+    std::vector<std::string> candidates;
     WallTime acceptedAt {};
     MonotonicTime deadline {};
     uint32_t attempts { 0 };
@@ -77,10 +78,12 @@
 /** A non-repeatable request arrived, from a caller or relayed by the entry host. */
 struct RequestArrived {
     RequestId request; /**< Issued by this incarnation, for this try only. */
+    std::string refusalId; /**< Issued for this try as well: for answers of a try that leaves no entry in the log. */
     IdempotencyKey key;
     BodyDigest digest;
     std::string service;
     std::string entryHost;
+    std::vector<std::string> candidates; /**< Backend servers that may be sent the request, the first choice first. */
     MonotonicTime deadline {};
 };
 struct IntentDurable {
@@ -94,7 +97,7 @@
 struct AttemptNotRun {
     RequestId request;
     uint32_t attempt { 0 };
-    std::string backendServer;
+    std::string backendServer; /**< Empty when no candidate was usable. */
     ResultCode reason { ResultCode::BackendRefused };
     bool retryAllowed { false }; /**< The retry budget grants another attempt. */
 };
@@ -152,15 +155,17 @@
 struct RecordAccount {
     AccountEntry entry;
 };
-/** Send the request to a backend server once; ends in AttemptNotRun, AttemptAnswered or AttemptUnknown. */
+/** Send the request once to one of the candidates, which its intent names; ends in AttemptNotRun, AttemptAnswered or AttemptUnknown. */
 struct DispatchRequest {
     RequestId request;
     uint32_t attempt { 0 }; /**< Counted from 1. */
+    std::vector<std::string> candidates;
     MonotonicTime deadline {};
 };
 /** The answer of this request, once for each. */
 struct AnswerRequest {
     RequestId request;
+    std::string id; /**< What the caller is told; the account stands under parseAccountId of it. */
     std::string entryHost;
     ResultCode result { ResultCode::Ok };
     RunState runState { RunState::NotRun };
@@ -168,7 +173,7 @@
     std::string response;
     bool responseKept { true }; /**< False in a replay whose response is not held any longer. */
     std::optional<std::chrono::milliseconds> retryAfter; /**< Set when the result table says that the code is retryable. */
-    std::optional<RequestId> replayOf;
+    std::optional<RequestId> repeatOf; /**< The request that held the key already, whose account is that of this try. */
 };
 
 using AtMostOnceAction = std::variant<RecordIntent, RecordOutcome, RecordAccount, DispatchRequest, AnswerRequest>;
--- a/packages/decisions/src/AtMostOnce.cpp
+++ b/packages/decisions/src/AtMostOnce.cpp
@@ -23,11 +23,11 @@
         {
             const auto known = m_state.keys.find(event.key);
             if (m_state.logEnded) {
-                refuse(event, ResultCode::LogClosed, RunState::NotRun);
+                refuse(event, ResultCode::LogClosed);
             } else if (known != m_state.keys.end() && m_state.slices.contains(known->second.slice)) {
                 repeat(event, known->second);
             } else if (const auto reason = reasonToRefuse(m_state, m_options, event, m_now)) {
-                refuse(event, *reason, *reason == ResultCode::SliceHistoryIncomplete ? RunState::MayHaveRun : RunState::NotRun);
+                refuse(event, *reason);
             } else {
                 accept(event);
             }
@@ -67,7 +67,11 @@
             if (!record) {
                 return;
             }
-            record->backendServers.push_back(event.backendServer);
+            if (event.backendServer.empty()) {
+                --record->attempts; // no candidate was usable
+            } else {
+                record->backendServers.push_back(event.backendServer);
+            }
             const bool again = event.retryAllowed && !m_state.logEnded && m_now.monotonic < record->deadline;
             if (again) {
                 dispatch(*record);
@@ -104,6 +108,7 @@
                 release(event.request);
                 return;
             }
+            record->candidates = {};
             record->phase = record->outcome.account.runState == RunState::Ran ? KeyPhase::Finished : KeyPhase::Unknown;
             if (!record->outcome.responseKept) {
                 record->outcome.response.clear();
@@ -186,6 +191,7 @@
                                                          .slice = slice,
                                                          .service = event.service,
                                                          .entryHost = event.entryHost,
+                                                         .candidates = event.candidates,
                                                          .acceptedAt = m_now.wall,
                                                          .deadline = event.deadline,
                                                          .backendServers = {},
@@ -200,6 +206,7 @@
                                                       .slice = slice,
                                                       .service = event.service,
                                                       .entryHost = event.entryHost,
+                                                      .candidates = event.candidates,
                                                       .recordedAt = m_now.wall,
                                                   } });
         }
@@ -208,30 +215,57 @@
         void repeat(const RequestArrived& event, const KeyRecord& record)
         {
             if (record.digest != event.digest) {
-                refuse(event, ResultCode::IdempotencyKeyReused, RunState::NotRun);
-            } else if (record.phase == KeyPhase::Unknown) {
-                refuse(event, ResultCode::OutcomeUnknown, RunState::MayHaveRun, record.request);
+                refuse(event, ResultCode::IdempotencyKeyReused);
             } else if (record.phase == KeyPhase::Finished) {
                 replay(event, record);
             } else {
-                refuse(event, ResultCode::KeyInProgress, RunState::MayHaveRun);
+                const ResultCode code = record.phase == KeyPhase::Unknown ? ResultCode::OutcomeUnknown : ResultCode::KeyInProgress;
+                AnswerRequest answer = answerWithoutEntry(event, formatRepeatId(record.request, event.refusalId), code);
+                answer.repeatOf = record.request;
+                m_actions.emplace_back(std::move(answer));
             }
         }
 
         void replay(const RequestArrived& event, const KeyRecord& record)
         {
-            KeyRecord again = recordOf(event);
-            AccountEntry account = accountOf(again, record.outcome.account.result, RunState::Ran);
-            account.replayOf = record.request;
-            answer(again, account, record.outcome.httpStatus, record.outcome.response, record.outcome.responseKept);
-            m_actions.emplace_back(RecordAccount { .entry = account });
+            const OutcomeEntry& outcome = record.outcome;
+            AnswerRequest answer = answerWithoutEntry(event, formatRepeatId(record.request, event.refusalId), outcome.account.result);
+            answer.runState = RunState::Ran;
+            answer.httpStatus = outcome.httpStatus;
+            answer.response = outcome.response;
+            answer.responseKept = outcome.responseKept;
+            answer.repeatOf = record.request;
+            m_actions.emplace_back(std::move(answer));
         }
 
-        void refuse(const RequestArrived& event, ResultCode code, RunState runState, const std::optional<RequestId>& replayOf = {})
+        /**
+         * An answer that says more than "not run" of a try that was not dispatched. An odd id without an entry reads as
+         * "not run", so it goes under another id.
+         */
+        AnswerRequest answerWithoutEntry(const RequestArrived& event, std::string id, ResultCode code) const
         {
+            return AnswerRequest {
+                .request = event.request,
+                .id = std::move(id),
+                .entryHost = event.entryHost,
+                .result = code,
+                .runState = RunState::MayHaveRun,
+                .httpStatus = resultInfo(code).httpStatus,
+                .response = {},
+                .retryAfter = retryAfterOf(code, m_options),
+                .repeatOf = std::nullopt,
+            };
+        }
+
+        /** A refusal before acceptance. "Not run" holds whether or not its account reaches the log. */
+        void refuse(const RequestArrived& event, ResultCode code)
+        {
+            if (code == ResultCode::SliceHistoryIncomplete) {
+                m_actions.emplace_back(answerWithoutEntry(event, event.refusalId, code));
+                return;
+            }
             KeyRecord refused = recordOf(event);
-            AccountEntry account = accountOf(refused, code, runState);
-            account.replayOf = replayOf;
+            const AccountEntry account = accountOf(refused, code, RunState::NotRun);
             answer(refused, account, resultInfo(code).httpStatus, {}, true);
             if (!m_state.logEnded) {
                 m_actions.emplace_back(RecordAccount { .entry = account });
@@ -246,6 +280,7 @@
                 .digest = event.digest,
                 .service = event.service,
                 .entryHost = event.entryHost,
+                .candidates = {},
                 .acceptedAt = m_now.wall,
                 .backendServers = {},
                 .outcome = { .account = {}, .key = event.key, .httpStatus = 0, .response = {} },
@@ -255,7 +290,7 @@
         void dispatch(KeyRecord& record)
         {
             ++record.attempts;
-            m_actions.emplace_back(DispatchRequest { .request = record.request, .attempt = record.attempts, .deadline = record.deadline });
+            m_actions.emplace_back(DispatchRequest { .request = record.request, .attempt = record.attempts, .candidates = record.candidates, .deadline = record.deadline });
         }
 
         void abandon(KeyRecord& record, ResultCode code)
@@ -302,10 +337,10 @@
                 .runState = runState,
                 .attempts = record.attempts,
                 .backendServers = record.backendServers,
+                .candidates = {},
                 .acceptedAt = record.acceptedAt,
                 .finishedAt = m_now.wall,
                 .entryHost = record.entryHost,
-                .replayOf = std::nullopt,
             };
         }
 
@@ -323,6 +358,7 @@
             record.answered = true;
             m_actions.emplace_back(AnswerRequest {
                 .request = record.request,
+                .id = formatRequestId(record.request),
                 .entryHost = record.entryHost,
                 .result = account.result,
                 .runState = account.runState,
@@ -330,7 +366,7 @@
                 .response = response,
                 .responseKept = responseKept,
                 .retryAfter = retryAfterOf(account.result, m_options),
-                .replayOf = account.replayOf,
+                .repeatOf = std::nullopt,
             });
         }
 
--- a/packages/decisions/tests/AtMostOnceModel.h
+++ b/packages/decisions/tests/AtMostOnceModel.h
@@ -35,13 +35,14 @@
     size_t logLostAlive { 0 };
     size_t ranAfterLogClosed { 0 };
     size_t finalLookups { 0 };
+    size_t attemptsUnknown { 0 }; /**< Final accounts of requests that ran and whose outcome is not on record. */
     size_t ownerAndHolderLost { 0 }; /**< Both ended at once while no host reached the store, with an open intent that only they had. */
     size_t domainLost { 0 }; /**< The same, by the end of their whole failure domain. */
     size_t ranBeforeLoss { 0 }; /**< Such an intent whose request had run. */
     size_t triedAfterLoss { 0 }; /**< A later try of such a key that an owner of its slice answered. */
     size_t accountsAfterLoss { 0 }; /**< A final account of the request that held such a key. */
     size_t triedDuringTakeover { 0 };
-    size_t replaysNotAccounted { 0 }; /**< Told "ran" from the record of another try; accounted as not run by this one. */
+    size_t replaysAccounted { 0 }; /**< Final accounts by the id of a try that was told "ran" from the record of another. */
     size_t supersededAnswers { 0 }; /**< An answer of an attempt that is not the current one, late or doubled. */
 };
 
@@ -96,6 +97,8 @@
         std::optional<AccountAnswer> account;
         IdempotencyKey key;
         bool ran { false };
+        std::string ranAt;
+        uint32_t dispatched { 0 };
         bool triedDuringTakeover { false };
     };
 
@@ -147,6 +150,9 @@
     void mapRead(Ref node, uint32_t slice, const SliceMap& map, uint64_t version);
     bool historyLoaded(Ref node, const IncarnationId& incarnation);
     void lookUp(const RequestId& request);
+    AccountAnswer accountOf(const RequestId& request);
+    void checkWhereItRan(const RequestId& request, const AccountAnswer& answer);
+    std::optional<RequestId> accountIdOf(const RequestId& request) const;
     void drain();
     void checkLogs();
 
