Decide which incarnations have ended from membership

Cause: PeerDirectory asks each peer twice a second, 760 calls a second and node at 380 hosts, and holds whoever is silent for 5 s to have ended. In a cut between failure domains whose two sides reach the store each side closes the logs of the other, and a host that hears nobody closes everybody's.

Change: reviewPeers (PeerLiveness.h) judges from membership: dead in the word of the own failure domain's hosts, replaced by a higher generation at the same address, goodbye, left and not closed in 10 s, not known to its domain for 10 s. A domain out of reach is in doubt: the platform's word ends its hosts, and where there is no platform to ask 4 s more of silence. A host whose own pings nobody answers judges nobody. Membership: domains with few hosts probe by way of other domains too; a host that starts tries eight addresses a period; a process at an address where another is known takes a generation above it before it is believed; an own pause is no silence of another domain.

Failing first, PeerLivenessTest.cpp: the poll (in the test) wrongly ends 18 of 18 in a cut between two domains of three, 7 of 7 at a deaf host, and both of two hosts that lost only each other. Incarnations in MembershipNetwork.h now sort upwards at even hosts, downwards at odd ones; before, all downwards.

--- a/packages/decisions/include/siskinspread/Membership.h
+++ b/packages/decisions/include/siskinspread/Membership.h
@@ -87,7 +87,9 @@
     std::chrono::milliseconds period { 1'000 }; /**< One member is probed in each. */
     std::chrono::milliseconds pingTimeout { 300 }; /**< Before others are asked to probe the member; below period. */
     std::chrono::milliseconds suspicionTime { 6'000 }; /**< For a suspected member to refute. */
-    uint32_t indirectProbes { 3 };
+    uint32_t indirectProbes { 3 }; /**< By hosts of the own domain, filled up with hosts of others. */
+    uint32_t joinPeriods { 5 }; /**< In the first periods several absent addresses are tried in each. */
+    size_t joinProbes { 8 };
     uint32_t rejoinPeriods { 4 }; /**< Every so many periods a dead or hinted address is tried. */
     uint32_t rumourFactor { 3 }; /**< A record is passed on this often, times the logarithm of the members. */
     size_t maxRumours { 8 }; /**< Records in a message. */
@@ -129,6 +131,7 @@
     std::map<uint64_t, RequestedProbe> requestedProbes;
     MonotonicTime nextPeriodAt;
     std::optional<MonotonicTime> lastTickAt;
+    std::optional<MonotonicTime> answeredAt; /**< When an answer to a ping of this host last arrived. */
     std::map<std::string, MonotonicTime> nextSyncAt; /**< By domain. */
 };
 
--- a/packages/decisions/src/Membership.cpp
+++ b/packages/decisions/src/Membership.cpp
@@ -33,6 +33,23 @@
             return addresses;
         }
 
+        /** Other hosts of the own domain in random order; a small domain's are followed by hosts of other domains. */
+        std::vector<std::string> indirectProbers(const std::string& target) const
+        {
+            std::vector<std::string> helpers = rendezvousOrder(spreadKey(), otherMembers());
+            std::vector<std::string> strangers;
+            for (const auto& [address, entry] : state.table.entries) {
+                if (entry.record.failureDomain != state.self.failureDomain && entry.record.status == MemberStatus::Alive) {
+                    strangers.push_back(address);
+                }
+            }
+            strangers = rendezvousOrder(spreadKey(), std::move(strangers));
+            helpers.insert(helpers.end(), strangers.begin(), strangers.end());
+            std::erase(helpers, target);
+            helpers.resize(std::min<size_t>(helpers.size(), options.indirectProbes));
+            return helpers;
+        }
+
         // --- probing
 
         void startProbe() const
@@ -59,12 +76,18 @@
             }
             state.probe->askedOthers = true;
             const DirectProbe probe = *state.probe;
-            std::vector<std::string> helpers = otherMembers();
-            std::erase(helpers, probe.address);
-            helpers = rendezvousOrder(spreadKey(), std::move(helpers));
-            helpers.resize(std::min<size_t>(helpers.size(), options.indirectProbes));
-            for (const std::string& helper : helpers) {
+            for (const std::string& helper : indirectProbers(probe.address)) {
                 send(helper, PingRequest { .sequence = probe.sequence, .target = probe.address });
+                send(helper, Ping { .sequence = ++state.sequence }); // tells whether this host itself is heard
+            }
+        }
+
+        /** A host alone in its domain has nobody to probe, and learns here whether it is heard. */
+        void pingOtherDomain() const
+        {
+            const std::vector<std::string> addresses = indirectProbers({});
+            if (otherMembers().empty() && !addresses.empty()) {
+                send(addresses.front(), Ping { .sequence = ++state.sequence });
             }
         }
 
@@ -126,13 +149,15 @@
 
         void tryAbsent(bool isRelay) const
         {
+            const bool isJoining = state.round <= options.joinPeriods;
             const bool isAlone = otherMembers().empty();
-            if (!isAlone && state.round % options.rejoinPeriods) {
+            if (!isJoining && !isAlone && state.round % options.rejoinPeriods) {
                 return;
             }
-            const auto addresses = rendezvousOrder(spreadKey(), absentAddresses(isRelay));
-            if (!addresses.empty()) {
-                send(addresses.front(), Ping { .sequence = ++state.sequence });
+            auto addresses = rendezvousOrder(spreadKey(), absentAddresses(isRelay));
+            addresses.resize(std::min<size_t>(addresses.size(), isJoining ? options.joinProbes : 1));
+            for (const std::string& address : addresses) {
+                send(address, Ping { .sequence = ++state.sequence });
             }
         }
 
@@ -181,6 +206,9 @@
             for (auto& [address, entry] : state.table.entries) {
                 entry.since += gap;
             }
+            for (auto& [domain, heardAt] : state.domainHeardAt) {
+                heardAt = std::min(heardAt + gap, now);
+            }
         }
 
         void beginPeriod() const
@@ -189,6 +217,7 @@
             state.nextPeriodAt = now + options.period;
             ++state.round;
             startProbe();
+            pingOtherDomain();
             const auto relays = relayAddresses(state, state.self.failureDomain, options.relayCount);
             const bool isRelay = std::find(relays.begin(), relays.end(), state.self.address) != relays.end();
             tryAbsent(isRelay);
@@ -236,6 +265,7 @@
 
         void take(const std::string&, const PingAck& ack) const
         {
+            state.answeredAt = now;
             if (state.probe && state.probe->sequence == ack.sequence) {
                 state.probe.reset();
             }
--- a/packages/decisions/src/MembershipMessages.cpp
+++ b/packages/decisions/src/MembershipMessages.cpp
@@ -33,16 +33,25 @@
 
     void refute(MembershipState& state, const MemberRecord& claim)
     {
-        if (!supersedes(claim, state.self) || state.self.status == MemberStatus::Left) {
+        if (state.self.status == MemberStatus::Left) {
             return;
         }
-        if (isSameProcess(claim, state.self)) {
+        if (claim.incarnation != state.self.incarnation && claim.generation >= state.self.generation) {
+            // Messages to this address reach this process, so the other one has been replaced.
+            state.self.generation = claim.generation + 1;
+            state.self.refutation = 0;
+        }
+        if (isSameProcess(claim, state.self) && supersedes(claim, state.self)) {
             state.self.refutation = claim.refutation + 1;
-            return;
         }
-        // Messages to this address reach this process, so the other one has been replaced.
-        state.self.generation = claim.generation + 1;
-        state.self.refutation = 0;
+    }
+
+    /** @return whether another process is known at the sender's address, which the sender has not heard of. */
+    bool isUnawareOfFormer(const MembershipState& state, const MemberRecord& sender)
+    {
+        const auto known = state.table.entries.find(sender.address);
+        return known != state.table.entries.end() && known->second.record.incarnation != sender.incarnation
+            && known->second.record.generation >= sender.generation;
     }
 
     /** @return whether the sender is the one to be asked about this domain. */
@@ -130,9 +139,14 @@
 void takeHeader(MembershipState& state, const MembershipOptions& options, const MembershipMessage& message, MonotonicTime now,
     std::vector<MembershipAction>& actions)
 {
-    takeRecord(state, options, message.sender, now, actions);
+    if (isUnawareOfFormer(state, message.sender)) {
+        // The ping carries the former process's record, so that the sender takes a generation above it.
+        sendMessage(state, options, message.sender.address, Ping { .sequence = ++state.sequence }, now, actions);
+    } else {
+        takeRecord(state, options, message.sender, now, actions);
+    }
     const auto entry = state.table.entries.find(message.sender.address);
-    if (entry != state.table.entries.end()) {
+    if (entry != state.table.entries.end() && entry->second.record.incarnation == message.sender.incarnation) {
         entry->second.heardAt = now;
     }
     for (const MemberRecord& record : message.rumours) {
--- a/packages/decisions/tests/MembershipNetwork.h
+++ b/packages/decisions/tests/MembershipNetwork.h
@@ -40,6 +40,8 @@
     void cut(size_t from, size_t to) { m_cuts.insert({ from % size(), to % size() }); }
     void mend(size_t from, size_t to) { m_cuts.erase({ from % size(), to % size() }); }
 
+    bool isCut(size_t from, size_t to) const { return m_cuts.contains({ from, to }); }
+
     void start(size_t index)
     {
         Host& host = m_hosts[index % size()];
@@ -49,8 +51,8 @@
         host.state.self.address = hint.address;
         host.state.self.host = "h" + hint.address;
         host.state.self.failureDomain = hint.failureDomain;
-        // Later incarnations need not sort after earlier ones.
-        host.state.self.incarnation = host.state.self.host + "." + std::to_string(100 - starts);
+        // Later incarnations sort after earlier ones at some hosts and before them at others.
+        host.state.self.incarnation = host.state.self.host + "." + std::to_string(index % 2 ? 500 - starts : 500 + starts);
         host.state.seed = index + size_t { 1000 } * starts;
         host.running = true;
         host.paused = false;
--- /dev/null
+++ b/packages/decisions/tests/PeerLivenessTest.cpp
@@ -0,0 +1,315 @@
+#include "siskinspread/PeerLiveness.h"
+
+#include "MembershipNetwork.h"
+#include "Script.h"
+
+#include <doctest/doctest.h>
+
+namespace siskinspread {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** Hosts that review each other, and beside them the naive verdict: no answer to the own question for five seconds. */
+    class LivenessNetwork {
+    public:
+        LivenessNetwork(size_t domains, size_t hostsPerDomain, PeerLivenessOptions options = { .asksPlatform = true })
+            : network(domains, hostsPerDomain)
+            , m_options(options)
+            , m_states(network.size())
+            , m_answeredAt(network.size(), std::vector<MonotonicTime>(network.size(), network.now()))
+            , verdicts(network.size())
+            , naiveEnded(network.size())
+        {
+            run(12s);
+        }
+
+        void run(std::chrono::milliseconds time)
+        {
+            for (const auto end = network.now() + time; network.now() < end;) {
+                network.run(500ms);
+                for (size_t i = 0; i < network.size(); ++i) {
+                    if (isAwake(i)) {
+                        review(i);
+                    }
+                }
+            }
+        }
+
+        /** The incarnation is in the slice map from now on. */
+        IncarnationId expect(size_t index)
+        {
+            const MemberRecord& self = network.host(index).state.self;
+            const IncarnationId incarnation { self.incarnation };
+            m_expected.push_back({ .incarnation = incarnation, .host = self.host, .failureDomain = self.failureDomain });
+            return incarnation;
+        }
+
+        void restart(size_t index)
+        {
+            network.start(index);
+            m_states[index % network.size()] = {};
+        }
+
+        /** @return whether those that were replaced count as ended everywhere. */
+        bool areReplacedEnded()
+        {
+            return std::all_of(m_expected.begin(), m_expected.end(), [this](const ExpectedPeer& peer) {
+                return judgesOf(peer.incarnation) == network.size();
+            });
+        }
+
+        void cutBetween(const std::vector<size_t>& ones, const std::vector<size_t>& others)
+        {
+            for (const size_t one : ones) {
+                for (const size_t other : others) {
+                    network.cut(one, other);
+                    network.cut(other, one);
+                }
+            }
+        }
+
+        bool isAwake(size_t index) { return network.host(index).running && !network.host(index).paused; }
+
+        /** @return hosts at which another's incarnation counts as ended. */
+        size_t judgesOf(const IncarnationId& incarnation)
+        {
+            size_t count = 0;
+            for (size_t i = 0; i < network.size(); ++i) {
+                count += isAwake(i) && verdicts[i].ended.contains(incarnation);
+            }
+            return count;
+        }
+
+        bool isGoneAt(size_t index, const IncarnationId& incarnation) const { return m_states[index].gone.contains(incarnation); }
+
+        /** @return how often a host that runs counts as ended at another one. */
+        size_t wrongVerdicts()
+        {
+            size_t count = 0;
+            for (size_t i = 0; i < network.size(); ++i) {
+                count += isAwake(i) ? judgesOf({ network.host(i).state.self.incarnation }) : 0;
+            }
+            return count;
+        }
+
+        size_t naiveVerdicts() const
+        {
+            size_t count = 0;
+            for (const auto& ended : naiveEnded) {
+                count += ended.size();
+            }
+            return count;
+        }
+
+        void platformSaysEnded(size_t index)
+        {
+            for (size_t i = 0; i < network.size(); ++i) {
+                takeHostEnded(m_states[i], network.host(index).state.self.host);
+            }
+        }
+
+        MembershipNetwork network;
+
+    private:
+        void review(size_t index)
+        {
+            verdicts[index] = reviewPeers(m_states[index], m_options, network.host(index).state, {}, m_expected, network.now());
+            for (size_t peer = 0; peer < network.size(); ++peer) {
+                if (isAwake(peer) && !network.isCut(index, peer) && !network.isCut(peer, index)) {
+                    m_answeredAt[index][peer] = network.now();
+                } else if (peer != index && network.now() > m_answeredAt[index][peer] + 5s) {
+                    naiveEnded[index].insert(peer);
+                }
+            }
+        }
+
+        PeerLivenessOptions m_options;
+        std::vector<PeerLivenessState> m_states;
+        std::vector<ExpectedPeer> m_expected;
+        std::vector<std::vector<MonotonicTime>> m_answeredAt;
+
+    public:
+        std::vector<PeerVerdicts> verdicts;
+        std::vector<std::set<size_t>> naiveEnded;
+    };
+
+    void disturb(LivenessNetwork& hosts, uint32_t choice)
+    {
+        const size_t a = choice >> 8;
+        const size_t b = choice >> 16;
+        const uint32_t operation = choice % 7;
+        if (operation == 0) {
+            hosts.network.cut(a, b);
+        } else if (operation == 1) {
+            hosts.network.mend(a, b);
+        } else if (operation == 2) {
+            hosts.expect(a);
+            hosts.restart(a);
+        } else if (operation == 3) {
+            hosts.network.pause(a);
+        } else if (operation == 4) {
+            hosts.network.resume(a);
+        } else if (operation == 5) {
+            hosts.network.setLossPercent((choice >> 24) % 40);
+        }
+        hosts.run(100ms * ((choice >> 24) % 64));
+    }
+
+} // namespace
+
+TEST_CASE("hosts of a failure domain that is cut off are not held to have ended, on either side")
+{
+    LivenessNetwork hosts { 2, 3 };
+    hosts.cutBetween({ 0, 1, 2 }, { 3, 4, 5 });
+    hosts.run(60s);
+    CHECK(hosts.wrongVerdicts() == 0);
+    CHECK(hosts.naiveVerdicts() == 18);
+    CHECK(hosts.verdicts[0].live.size() == 3);
+    CHECK(hosts.verdicts[0].inDoubt.size() == 3);
+    CHECK(hosts.verdicts[5].inDoubt.size() == 3);
+}
+
+TEST_CASE("a host that hears nobody, or whom nobody hears, judges nobody")
+{
+    for (const bool isDeaf : { true, false }) {
+        LivenessNetwork hosts { 2, 4 };
+        for (size_t other = 1; other < hosts.network.size(); ++other) {
+            hosts.network.cut(isDeaf ? other : 0, isDeaf ? 0 : other);
+        }
+        size_t wrong = 0;
+        for (int i = 0; i < 60; ++i) {
+            hosts.run(1s);
+            wrong += hosts.verdicts[0].ended.size();
+        }
+        CHECK(wrong == 0);
+        CHECK(hosts.naiveEnded[0].size() == 7);
+        CHECK(hosts.judgesOf({ hosts.network.host(0).state.self.incarnation }) == 7); // nobody can be answered by it
+    }
+}
+
+TEST_CASE("the two hosts of a failure domain that lost each other are vouched for by hosts of other domains")
+{
+    LivenessNetwork hosts { 3, 2 };
+    hosts.cutBetween({ 0 }, { 1 });
+    size_t wrong = 0;
+    for (int i = 0; i < 60; ++i) {
+        hosts.run(1s);
+        wrong += hosts.wrongVerdicts();
+    }
+    CHECK(wrong == 0);
+    CHECK(hosts.naiveVerdicts() == 2);
+}
+
+TEST_CASE("a host that died is ended at all others")
+{
+    LivenessNetwork hosts { 4, 2 };
+    const IncarnationId dead = hosts.expect(0);
+    hosts.network.stop(0);
+    std::vector<int> seconds;
+    for (int i = 1; i <= 20; ++i) {
+        hosts.run(1s);
+        if (hosts.judgesOf(dead) == 7) {
+            seconds.push_back(i);
+        }
+    }
+    REQUIRE_FALSE(seconds.empty());
+    MESSAGE("ended at all seven others after ", seconds.front(), " s");
+    CHECK(hosts.wrongVerdicts() == 0);
+}
+
+TEST_CASE("a host replaced at its address ends the former incarnation for certain, whichever name sorts first")
+{
+    LivenessNetwork hosts { 2, 3 };
+    for (int i = 0; i < 3; ++i) {
+        const size_t replaced = 1 + i % 2;
+        const IncarnationId former = hosts.expect(replaced);
+        hosts.network.run(500ms); // between the probes of the others
+        hosts.restart(replaced);
+        hosts.run(6s);
+        CHECK(hosts.judgesOf(former) == 6);
+        CHECK(hosts.isGoneAt(0, former));
+        CHECK(hosts.isGoneAt(5, former));
+        CHECK(hosts.wrongVerdicts() == 0);
+    }
+}
+
+TEST_CASE("a paused host counts as ended, judges nobody when it wakes, and is back")
+{
+    LivenessNetwork hosts { 2, 3 };
+    const IncarnationId paused = hosts.expect(1);
+    hosts.network.pause(1);
+    hosts.run(20s);
+    CHECK(hosts.judgesOf(paused) == 5);
+    hosts.network.resume(1, true);
+    for (int i = 0; i < 30; ++i) {
+        hosts.run(500ms);
+        CHECK(hosts.verdicts[1].ended.empty());
+    }
+    CHECK(hosts.judgesOf(paused) == 0);
+}
+
+TEST_CASE("a failure domain that is lost whole is ended when the platform says so")
+{
+    LivenessNetwork hosts { 3, 2 };
+    const IncarnationId lost = hosts.expect(1);
+    hosts.network.stop(0);
+    hosts.network.stop(1);
+    hosts.run(60s);
+    CHECK(hosts.judgesOf(lost) == 0);
+    CHECK(hosts.verdicts[2].inDoubt.contains("h1001"));
+    hosts.platformSaysEnded(1);
+    hosts.run(1s);
+    CHECK(hosts.judgesOf(lost) == 4);
+    CHECK_FALSE(hosts.verdicts[2].inDoubt.contains("h1001"));
+}
+
+TEST_CASE("where no platform can be asked, the silence of a whole failure domain ends its hosts")
+{
+    LivenessNetwork hosts { 2, 1, { .asksPlatform = false } };
+    const IncarnationId lost = hosts.expect(1);
+    hosts.network.stop(1);
+    hosts.run(8s);
+    CHECK(hosts.judgesOf(lost) == 0);
+    hosts.run(4s);
+    CHECK(hosts.judgesOf(lost) == 1);
+}
+
+TEST_CASE("an incarnation that only the slice map names ends in time, and a goodbye ends one at once")
+{
+    PeerLivenessState state;
+    MembershipState membership;
+    membership.self = { .address = "1", .host = "a", .failureDomain = "d", .incarnation = "a.1" };
+    const MonotonicTime start { 1h };
+    const auto endedAfter = [&](const std::string& incarnation, std::chrono::milliseconds time) {
+        const std::vector<ExpectedPeer> expected { { .incarnation = { incarnation }, .host = "b", .failureDomain = "d" } };
+        return reviewPeers(state, {}, membership, {}, expected, start + time).ended.contains({ incarnation });
+    };
+    for (auto time = 0s; time < 10s; time += 1s) {
+        CHECK_FALSE(endedAfter("b.1", time));
+    }
+    CHECK(endedAfter("b.1", 10s));
+    takeGoodbye(state, { "b.2" });
+    CHECK(endedAfter("b.2", 11s));
+}
+
+TEST_CASE("after any faults nobody who runs is held to have ended, and all that were replaced are")
+{
+    CHECK(rc::check([] {
+        LivenessNetwork hosts { 2, 3 };
+        for (const uint32_t choice : arbitraryScript(12)) {
+            disturb(hosts, choice);
+        }
+        hosts.network.heal();
+        hosts.run(60s);
+        RC_ASSERT(hosts.wrongVerdicts() == 0U);
+        RC_ASSERT(hosts.areReplacedEnded());
+        for (const PeerVerdicts& verdicts : hosts.verdicts) {
+            RC_ASSERT(verdicts.live.size() == hosts.network.size());
+            RC_ASSERT(verdicts.inDoubt.empty());
+        }
+    }));
+}
+
+} // namespace siskinspread
