Read membership in place of asking each peer twice a second

Cause: the polling of PeerDirectory does not fit 380 hosts (CAPACITY.md).

Change: PeerDirectory reviews membership every 250 ms (reviewPeers) and keeps the JSON-RPC method goodbye; identity is gone, nobody else called it. Hosts in doubt are read from the cloud API one by one, every 5 s by owners of slices and every 30 s by the others; the stand-in has GET /hosts/NAME for it. A copy holder that is gone for certain is not asked for its copies, so that a domain that was lost whole can be taken over. A holder out of reach is replaced. Slices that never had an owner are taken 2 s after the start, since members now arrive by heartbeats: without it the first host to start would take all.

--- a/packages/daemon/include/siskinspread/MembershipAdapter.h
+++ b/packages/daemon/include/siskinspread/MembershipAdapter.h
@@ -46,6 +46,10 @@
     /** @return all known processes, the dead and departed ones included, this one first. */
     std::vector<KnownIncarnation> knownIncarnations() const;
 
+    /** @return all that this host knows of the others. */
+    const MembershipState& state() const { return m_state; }
+    const MembershipOptions& options() const { return m_options; }
+
     /** @return the host of each other failure domain that passes news on in it, as far as one is known. */
     std::vector<std::string> otherRelays() const;
 
--- a/packages/daemon/include/siskinspread/PeerDirectory.h
+++ b/packages/daemon/include/siskinspread/PeerDirectory.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "siskinspread/PeerCalls.h"
-#include "siskinspread/SliceMap.h"
-#include "siskinspread/Timers.h"
+#include "siskinspread/CloudApi.h"
+#include "siskinspread/MembershipAdapter.h"
+#include "siskinspread/PeerLiveness.h"
 
 #include <map>
 #include <set>
@@ -12,49 +12,61 @@
 namespace siskinspread {
 
 /**
- * Which incarnation runs at each peer, asked by JSON-RPC. A verdict that an incarnation has ended may be wrong: it costs
- * availability, never correctness (docs/design/at-most-once.md). Thread safety: decide thread only.
+ * Which incarnation runs at each peer and which have ended, from membership; the cloud API is asked about those of which
+ * the hosts cannot tell. A verdict that an incarnation has ended may be wrong: it costs availability, never correctness
+ * (docs/design/at-most-once.md). Thread safety: decide thread only.
  */
 class PeerDirectory {
 public:
-    /** Registers the methods "identity" and "goodbye". */
-    PeerDirectory(HostContext&, Timers&, PeerCalls&);
+    struct Parts {
+        Timers& timers;
+        PeerCalls& calls;
+        const MembershipAdapter& membership;
+    };
+
+    /** Registers the method "goodbye". */
+    PeerDirectory(HostContext&, Parts, CloudApiOptions);
 
-    /** Begins to ask. */
+    /** Begins to review the peers. */
     void start();
 
-    /** @return this host and the peers that have answered lately and are not leaving. */
-    std::vector<SliceOwnerCandidate> live() const;
+    /** @return this host and the peers within reach that are neither suspected nor leaving. */
+    const std::vector<SliceOwnerCandidate>& live() const { return m_verdicts.live; }
+
+    /** @return incarnations that have said goodbye, were replaced at their host, or are dead. */
+    const std::set<IncarnationId>& ended() const { return m_verdicts.ended; }
+
+    /** @return whether an incarnation can not act any more: it was replaced at its address, or its host has ended. */
+    bool isGone(const IncarnationId& incarnation) const { return m_state.gone.contains(incarnation); }
 
-    /** @return incarnations that have said goodbye, were replaced at their host, or have not answered for a while. */
-    const std::set<IncarnationId>& ended() const { return m_ended; }
+    /** @return whether an incarnation has ended or its failure domain is out of reach. */
+    bool isLost(const IncarnationId&) const;
 
-    /** Counts an incarnation that is known only from the slice map: it has to answer within the usual time. */
-    void expect(const IncarnationId&);
+    /** @return whether hosts that started together have had time to hear of each other. */
+    bool hasJoined() const;
+
+    /** Replaces the incarnations that the slice map names: each has to be known to its domain within some seconds. */
+    void expect(const std::set<IncarnationId>& owners);
 
     /** Tells all peers that this incarnation takes no more work and has closed its log. */
     void sayGoodbye();
 
 private:
-    struct Peer {
-        IncarnationId incarnation;
-        MonotonicTime answeredAt {};
-    };
-
-    void askAll();
-    void onIdentity(const std::string& host, const RpcOutcome&);
-    void excuseOwnPause();
-    void judgeSilence();
-    void markEnded(const IncarnationId&);
+    void review();
+    void logChanges(const std::set<IncarnationId>& before) const;
+    void askPlatform();
+    void onHostState(const std::string& host, const TransferEnded&);
 
     HostContext& m_context;
-    Timers& m_timers;
-    PeerCalls& m_calls;
-    MonotonicTime m_nextAskAt {};
-    std::map<std::string, Peer> m_peers;
-    std::map<IncarnationId, MonotonicTime> m_expected; /**< Since when an answer is awaited. */
-    std::set<IncarnationId> m_ended;
-    std::set<IncarnationId> m_final; /**< Those of `m_ended` that cannot come back: replaced, or said goodbye. */
+    Parts m_parts;
+    const CloudApiOptions m_cloud;
+    const PeerLivenessOptions m_options;
+    PeerLivenessState m_state;
+    PeerVerdicts m_verdicts;
+    std::vector<ExpectedPeer> m_expected;
+    std::map<std::string, MonotonicTime> m_askedAt; /**< By host, of the cloud API. */
+    MonotonicTime m_startedAt {};
+    bool m_ownsSlices { false };
 };
 
 } // namespace siskinspread
--- a/packages/daemon/include/siskinspread/SliceKeeper.h
+++ b/packages/daemon/include/siskinspread/SliceKeeper.h
@@ -46,6 +46,7 @@
     void watch();
     void onWatchAnswer(const TransferEnded&);
     void review();
+    std::set<IncarnationId> owners() const;
     void createMap();
     void takeOver();
     void writeMoves(const std::vector<SliceMove>&);
--- a/packages/daemon/src/CopyDesk.cpp
+++ b/packages/daemon/src/CopyDesk.cpp
@@ -63,8 +63,8 @@
 void CopyDesk::keepHolder(LogWriter& log)
 {
     const auto& declared = log.declaredHolder();
-    const bool isLost = declared && m_peers.ended().contains(*declared);
-    if (!declared || isLost) {
+    const bool isLost = declared && m_peers.isLost(*declared);
+    if (isLost || (!declared && m_peers.hasJoined())) { // not before the peers of the own domain are known
         if (const auto holder = chooseHolder()) {
             log.chooseHolder(*holder);
         }
@@ -106,6 +106,10 @@
         done(CopiesSealed { .records = records.value_or(std::vector<LogRecord> {}) });
         return;
     }
+    if (m_peers.isGone(action.holder)) {
+        done(CopyHolderGone {}); // nobody is left to ask
+        return;
+    }
     m_calls.call(hostOf(action.holder), sealMethod, params.dump(), [done = std::move(done)](const RpcOutcome& outcome) {
         const auto result = nlohmann::json::parse(outcome.resultJson, nullptr, false);
         if (!outcome.ok() || !result.is_object()) {
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -66,7 +66,6 @@
         m_backendServers.startClient();
         m_platform.startClient();
         m_peers.startClient();
-        m_directory.start();
         m_slices.start();
         m_writer.sendCopies = [this](const SendCopies& action, std::function<void(const IncarnationLogEvent&)> done) { m_copies.send(action, std::move(done)); };
         m_closer.sealCopies = [this](const SealCopies& action, CopyDesk::SealDone done) { m_copies.seal(action, std::move(done)); };
@@ -76,6 +75,7 @@
         m_membership.onBackendNews = [this](const schema::BackendNewsMessage& news, size_t bytes) { m_backendStatus.hear(news, bytes); };
         m_configuration.start();
         m_membership.start();
+        m_directory.start();
         m_notices.start();
         m_backendStatus.start();
         scheduleRefresh();
@@ -305,7 +305,9 @@
     ModelRequests m_models { m_context, m_timers, m_pools, m_requests };
     PlainRequests m_plain { m_context, m_timers, m_requests };
     PeerCalls m_peerCalls { m_context };
-    PeerDirectory m_directory { m_context, m_timers, m_peerCalls };
+    ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { enforce(configuration); } };
+    MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
+    PeerDirectory m_directory { m_context, { .timers = m_timers, .calls = m_peerCalls, .membership = m_membership }, cloudOptions(m_settings.platform()) };
     CopyDesk m_copies { m_context, m_timers, m_peerCalls, m_directory };
     LogCloser m_closer { m_context, m_timers, m_store };
     OwnerDesk m_desk { m_context, m_pools, m_requests, m_writer };
@@ -317,15 +319,13 @@
     StreamAttach m_attach { m_context, { .models = m_models, .requests = m_requests, .accounts = m_accounts } };
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .attach = m_attach, .log = m_writer } };
     StreamHandovers m_handovers { m_context, { .timers = m_timers, .models = m_models, .requests = m_requests, .peers = m_directory, .log = m_writer, .isDraining = [this] { return m_routes.isDraining(); } } };
-    ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { enforce(configuration); } };
-    MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
     BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_heartbeats, .pools = m_pools, .membership = m_membership } };
     SystemView m_system { m_context, m_membership, m_configuration };
     OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system, .backendServers = m_backendStatus } };
     PlannedStop m_stop { m_context, [this] { return openRequests(); } };
     DrainRoute m_drain { m_context, m_stop };
     NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [this](const std::string& host, MonotonicTime) { m_backendStatus.leaveSign(host); } },
-        { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
+        cloudOptions(m_settings.platform()) };
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
     bool m_closingBegan { false };
--- a/packages/daemon/src/DaemonOptions.cpp
+++ b/packages/daemon/src/DaemonOptions.cpp
@@ -30,6 +30,11 @@
     return { .url = settings.object_api(), .timeout = std::chrono::milliseconds { settings.timeout_ms() } };
 }
 
+CloudApiOptions cloudOptions(const schema::PlatformSettings& settings)
+{
+    return { .url = settings.cloud_api(), .timeout = std::chrono::milliseconds { settings.timeout_ms() } };
+}
+
 HttpServerOptions peerOptions(const schema::Settings& settings)
 {
     return { .address = settings.listen().address(), .port = static_cast<uint16_t>(settings.listen().peer_port()), .maxBodyBytes = size_t { 2 } * settings.limits().max_body_bytes() + answerBytes };
--- a/packages/daemon/src/DaemonOptions.h
+++ b/packages/daemon/src/DaemonOptions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/CloudApi.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/HttpServer.h"
 #include "siskinspread/Ids.h"
@@ -23,6 +24,7 @@
 IncarnationId drawIncarnation(const std::string& host);
 
 ObjectApiOptions storeOptions(const schema::PlatformSettings&);
+CloudApiOptions cloudOptions(const schema::PlatformSettings&);
 HttpServerOptions peerOptions(const schema::Settings&);
 HeartbeatChannelOptions heartbeatOptions(const schema::Settings&);
 LogLevel logLevel(schema::LogSettings::Level);
--- a/packages/daemon/src/PeerDirectory.cpp
+++ b/packages/daemon/src/PeerDirectory.cpp
@@ -1,5 +1,7 @@
 #include "siskinspread/PeerDirectory.h"
 
+#include "siskinspread/CloudHost.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -8,26 +10,25 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds askInterval { 500 };
-    // Ten unanswered questions; a shorter silence is common while a host is busy or paused.
-    constexpr std::chrono::milliseconds silenceLimit { 5000 };
-    constexpr const char* identityMethod = "identity";
+    constexpr std::chrono::milliseconds reviewInterval { 250 };
+    constexpr std::chrono::milliseconds joinTime { 2000 };
+    // Owners of slices take over and ask often; the others may have to in time.
+    constexpr std::chrono::milliseconds ownerAskInterval { 5000 };
+    constexpr std::chrono::milliseconds otherAskInterval { 30'000 };
     constexpr const char* goodbyeMethod = "goodbye";
 
 } // namespace
 
-PeerDirectory::PeerDirectory(HostContext& context, Timers& timers, PeerCalls& calls)
+PeerDirectory::PeerDirectory(HostContext& context, Parts parts, CloudApiOptions cloud)
     : m_context(context)
-    , m_timers(timers)
-    , m_calls(calls)
+    , m_parts(parts)
+    , m_cloud(std::move(cloud))
+    , m_options({ .asksPlatform = !m_cloud.url.empty() })
 {
-    m_calls.methods().registerMethod(identityMethod, [this](const std::string&) -> RpcOutcome {
-        return nlohmann::json(m_context.incarnation.text).dump();
-    });
-    m_calls.methods().registerMethod(goodbyeMethod, [this](const std::string& params) -> RpcOutcome {
+    m_parts.calls.methods().registerMethod(goodbyeMethod, [this](const std::string& params) -> RpcOutcome {
         const auto document = nlohmann::json::parse(params, nullptr, false);
         if (document.is_object()) {
-            markEnded({ document.value("incarnation", "") });
+            takeGoodbye(m_state, { document.value("incarnation", "") });
         }
         return nlohmann::json(true).dump();
     });
@@ -35,106 +36,81 @@
 
 void PeerDirectory::start()
 {
-    m_nextAskAt = m_context.now;
-    askAll();
+    m_startedAt = m_context.now;
+    review();
 }
 
-void PeerDirectory::askAll()
+void PeerDirectory::review()
 {
-    excuseOwnPause();
-    for (const schema::PeerSettings& peer : m_context.settings.peers()) {
-        m_calls.call(peer.name(), identityMethod, "", [this, host = peer.name()](const RpcOutcome& outcome) { onIdentity(host, outcome); });
-    }
-    judgeSilence();
-    m_nextAskAt = m_context.now + askInterval;
-    m_timers.schedule(m_nextAskAt, [this] { askAll(); });
+    const std::set<IncarnationId> before = m_verdicts.ended;
+    m_verdicts = reviewPeers(m_state, m_options, m_parts.membership.state(), m_parts.membership.options(), m_expected, m_context.now);
+    logChanges(before);
+    askPlatform();
+    m_parts.timers.schedule(m_context.now + reviewInterval, [this] { review(); });
 }
 
-void PeerDirectory::onIdentity(const std::string& host, const RpcOutcome& outcome)
+void PeerDirectory::logChanges(const std::set<IncarnationId>& before) const
 {
-    const auto result = nlohmann::json::parse(outcome.resultJson, nullptr, false);
-    if (!outcome.ok() || !result.is_string()) {
-        return;
-    }
-    const IncarnationId incarnation { result.get<std::string>() };
-    Peer& peer = m_peers[host];
-    if (!peer.incarnation.text.empty() && peer.incarnation != incarnation) {
-        markEnded(peer.incarnation);
-    }
-    peer = { .incarnation = incarnation, .answeredAt = m_context.now };
-    if (!m_final.contains(incarnation)) {
-        m_ended.erase(incarnation); // it was silent and is back
-    }
-    for (const auto& [expected, since] : m_expected) {
-        if (hostOf(expected) == host && expected != incarnation) {
-            markEnded(expected);
+    for (const IncarnationId& incarnation : m_verdicts.ended) {
+        if (!before.contains(incarnation)) {
+            m_context.log.write({ .level = LogLevel::Info, .message = "an incarnation has ended", .fields = { { .name = "incarnation", .value = incarnation.text } } });
         }
     }
-    m_expected.erase(incarnation);
 }
 
-void PeerDirectory::markEnded(const IncarnationId& incarnation)
+void PeerDirectory::askPlatform()
 {
-    m_ended.insert(incarnation);
-    m_final.insert(incarnation);
+    std::erase_if(m_askedAt, [this](const auto& asked) { return !m_verdicts.inDoubt.contains(asked.first); });
+    const auto interval = m_ownsSlices ? ownerAskInterval : otherAskInterval;
+    for (const std::string& host : m_verdicts.inDoubt) {
+        const auto [asked, isFirst] = m_askedAt.emplace(host, m_context.now);
+        if (!isFirst && m_context.now < asked->second + interval) {
+            continue;
+        }
+        asked->second = m_context.now;
+        m_context.platform.start(readCloudHost(m_cloud, host), [this, host](const ClientEvent& event) { onHostState(host, std::get<TransferEnded>(event)); });
+    }
 }
 
-void PeerDirectory::expect(const IncarnationId& incarnation)
+void PeerDirectory::onHostState(const std::string& host, const TransferEnded& ended)
 {
-    const auto peer = m_peers.find(hostOf(incarnation));
-    const bool isKnown = peer != m_peers.end() && peer->second.incarnation == incarnation;
-    if (isKnown || incarnation == m_context.incarnation) {
-        return;
+    LastReason reason;
+    const auto state = cloudHostState(ended, reason);
+    m_context.metrics.countStoreCall(StorePurpose::CloudApi, state ? StoreOutcome::Answered : StoreOutcome::Unavailable);
+    if (state == CloudHostState::Ended) {
+        takeHostEnded(m_state, host);
     }
-    m_expected.emplace(incarnation, m_context.now);
 }
 
-// A process that was paused has not asked meanwhile: the time in which it could not hear anybody is nobody's silence.
-void PeerDirectory::excuseOwnPause()
+bool PeerDirectory::isLost(const IncarnationId& incarnation) const
 {
-    const auto late = m_context.now - m_nextAskAt;
-    if (late <= askInterval) {
-        return;
-    }
-    for (auto& [host, peer] : m_peers) {
-        peer.answeredAt = std::min(peer.answeredAt + late, m_context.now);
-    }
-    for (auto& [incarnation, since] : m_expected) {
-        since = std::min(since + late, m_context.now);
-    }
+    const MembershipState& membership = m_parts.membership.state();
+    const schema::PeerSettings* peer = findPeer(m_context.settings, hostOf(incarnation));
+    const bool isReachable = peer && isDomainReachable(membership, m_parts.membership.options(), peer->failure_domain(), m_context.now);
+    return !isReachable || m_verdicts.ended.contains(incarnation);
 }
 
-void PeerDirectory::judgeSilence()
+bool PeerDirectory::hasJoined() const
 {
-    for (const auto& [host, peer] : m_peers) {
-        if (m_context.now - peer.answeredAt > silenceLimit) {
-            m_ended.insert(peer.incarnation);
-        }
-    }
-    for (const auto& [incarnation, since] : m_expected) {
-        if (m_context.now - since > silenceLimit) {
-            m_ended.insert(incarnation);
-        }
-    }
+    return m_context.now >= m_startedAt + joinTime;
 }
 
-std::vector<SliceOwnerCandidate> PeerDirectory::live() const
+void PeerDirectory::expect(const std::set<IncarnationId>& owners)
 {
-    std::vector<SliceOwnerCandidate> candidates { { .incarnation = m_context.incarnation, .failureDomain = m_context.settings.host().failure_domain() } };
-    for (const auto& [host, peer] : m_peers) {
-        const schema::PeerSettings* settings = findPeer(m_context.settings, host);
-        if (settings && !m_ended.contains(peer.incarnation) && m_context.now - peer.answeredAt <= silenceLimit) {
-            candidates.push_back({ .incarnation = peer.incarnation, .failureDomain = settings->failure_domain() });
-        }
+    m_expected.clear();
+    m_ownsSlices = owners.contains(m_context.incarnation);
+    for (const IncarnationId& owner : owners) {
+        const std::string host = hostOf(owner);
+        const schema::PeerSettings* peer = findPeer(m_context.settings, host);
+        m_expected.push_back({ .incarnation = owner, .host = host, .failureDomain = peer ? peer->failure_domain() : "" });
     }
-    return candidates;
 }
 
 void PeerDirectory::sayGoodbye()
 {
     const std::string params = nlohmann::json { { "incarnation", m_context.incarnation.text } }.dump();
     for (const schema::PeerSettings& peer : m_context.settings.peers()) {
-        m_calls.call(peer.name(), goodbyeMethod, params, [](const RpcOutcome&) {});
+        m_parts.calls.call(peer.name(), goodbyeMethod, params, [](const RpcOutcome&) {});
     }
 }
 
--- a/packages/daemon/src/SliceKeeper.cpp
+++ b/packages/daemon/src/SliceKeeper.cpp
@@ -54,6 +54,7 @@
         m_map = std::move(*map);
         m_version = storedVersion(ended);
         m_known = true;
+        m_parts.peers.expect(owners());
         openOwnSlices();
     }
     watch();
@@ -65,11 +66,6 @@
     if (!m_known || m_writing || m_released) {
         return;
     }
-    for (const SliceAssignment& assignment : m_map.slices) {
-        if (!assignment.owner.text.empty()) {
-            m_parts.peers.expect(assignment.owner);
-        }
-    }
     if (m_version) {
         takeOver();
     } else {
@@ -77,6 +73,17 @@
     }
 }
 
+std::set<IncarnationId> SliceKeeper::owners() const
+{
+    std::set<IncarnationId> owners;
+    for (const SliceAssignment& assignment : m_map.slices) {
+        if (!assignment.owner.text.empty()) {
+            owners.insert(assignment.owner);
+        }
+    }
+    return owners;
+}
+
 void SliceKeeper::createMap()
 {
     SliceMap map;
@@ -106,6 +113,9 @@
     std::erase_if(moves, [this](const SliceMove& move) { return move.taker != m_context.incarnation; });
     std::vector<SliceMove> ready;
     for (const SliceMove& move : moves) {
+        if (move.from.text.empty() && !m_parts.peers.hasJoined()) {
+            continue; // hosts that start together share the slices that nobody owns
+        }
         if (move.from.text.empty() || m_parts.closer.find(move.from)) {
             ready.push_back(move);
         } else {
--- a/tests/standins/Cloud.cpp
+++ b/tests/standins/Cloud.cpp
@@ -108,6 +108,8 @@
         }
     } else if (call.path.starts_with(hostsPrefix) && call.method == "DELETE") {
         removeHost(call.path.substr(hostsPrefix.size()), call, responder);
+    } else if (call.path.starts_with(hostsPrefix)) {
+        sendHost(call.path.substr(hostsPrefix.size()), responder);
     } else if (call.path == "/host-list") {
         sendHostList(responder);
     } else if (call.path == "/notices") {
@@ -271,6 +273,16 @@
     sendJson(responder, 200, hosts);
 }
 
+void Cloud::sendHost(const std::string& name, const Responder& responder) const
+{
+    const auto found = m_hosts.find(name);
+    if (found == m_hosts.end()) {
+        responder.send(404);
+        return;
+    }
+    sendJson(responder, 200, hostJson(found->second));
+}
+
 void Cloud::sendHostList(const Responder& responder)
 {
     auto hosts = nlohmann::json::array();
--- a/tests/standins/Cloud.h
+++ b/tests/standins/Cloud.h
@@ -78,6 +78,7 @@
     void setPrices(const nlohmann::json& prices);
     void publishList();
     void sendHosts(const Responder& responder) const;
+    void sendHost(const std::string& name, const Responder& responder) const;
     void sendHostList(const Responder& responder);
     void sendNotices(const Call& call, const Responder& responder) const;
     void sendWeights(const std::string& name, const Responder& responder);
