Hold calls that may not be repeated against the pool's admission limits

Cause: calls with an idempotency key went from the owner straight to a backend server, so one customer's burst of holds was held against no limit. reviewWaiting, recordBetweenTokens and recordCached were decided and never called: a waiting request was refused when another ended and not at its latest start, no slow engine was found, and no prompt's holder was remembered. instruction_tokens was in no service file, and first_token_target_ms did not reach the choice of a server.

Ruled out: admission at the caller's host (refuses second tries whose answer is on record), inside the at-most-once decision (a phase of a key that is not held yet), reading cache events (arithmetic in docs/design/routing.md).

Change: AdmissionDesk joins the decision to all three kinds of request and looks at waiting ones at nextReview. OwnerDesk asks it before it raises RequestArrived; the hook in the decision is wouldDispatch and RequestArrived::notAdmitted. An owner's limit is its share of the slices. Besides: - A call that outlived its answer was never taken off its server's requests in progress; now it is, when it ends. - A handed-over request that found no place was told "not run" although it may have run at the former host. - Slow start of a whole pool no longer lowers its limit: with the sum of usableSlots a host that has just started admitted a fifth, and drain_tests refused open holds (2 of 8 cases failed in two runs; passed after the change).

--- a/packages/daemon/include/siskinspread/ModelRequests.h
+++ b/packages/daemon/include/siskinspread/ModelRequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/AdmissionDesk.h"
 #include "siskinspread/CallerResponse.h"
 #include "siskinspread/EventStream.h"
 #include "siskinspread/HandedOverRequest.h"
@@ -37,7 +38,6 @@
     uint32_t promptTokens { 0 };
     MonotonicTime deadline {};
 
-    bool admitted { false };
     uint32_t term { 0 }; /**< Grows when the attempts made for one caller are over. */
     uint32_t attempts { 0 };
     uint32_t attemptsBefore { 0 }; /**< Of those, attempts for earlier callers. */
@@ -49,6 +49,8 @@
     EventStreamParser parser;
     StreamProgress progress;
     MonotonicTime dispatchedAt {};
+    MonotonicTime sampleBegan {}; /**< Time of the token from which the time between tokens is being measured. */
+    uint32_t sampleTokens { 0 }; /**< Tokens since then. */
     RunState runState { RunState::NotRun }; /**< What ended attempts left known. */
 
     bool responseStarted { false };
@@ -73,7 +75,14 @@
  */
 class ModelRequests {
 public:
-    ModelRequests(HostContext&, Timers&, ServicePools&, RequestRegister&);
+    struct Parts {
+        Timers& timers;
+        ServicePools& pools;
+        AdmissionDesk& admissions;
+        RequestRegister& requests;
+    };
+
+    ModelRequests(HostContext&, Parts);
 
     /** Takes a request of a known customer. Precondition: the host accepts requests. */
     void accept(const IncomingRequest&, const std::string& customer, std::chrono::milliseconds timeLeft);
@@ -112,9 +121,7 @@
 private:
     using Requests = std::map<RequestId, std::unique_ptr<ModelRequest>>;
 
-    void admit(ModelRequest&);
-    void applyChanges(ServicePool&, const AdmissionChanges&);
-    void refuseWaiting(const AdmissionRefusal&);
+    void admit(const ModelRequest&);
     void dispatch(ModelRequest&);
     StartTransfer transferFor(const ModelRequest&) const;
     void onEvent(const RequestId&, const ClientEvent&);
@@ -122,6 +129,7 @@
     void onData(ModelRequest&, const TransferData&);
     void onChunk(ModelRequest&, const std::string& data);
     void onToken(ModelRequest&, nlohmann::json& chunk);
+    void measureToken(ModelRequest&) const;
     void onEnded(ModelRequest&, const TransferEnded&);
     void endAttempt(ModelRequest&, AttemptEnd);
     void closeAttempt(ModelRequest&) const;
@@ -139,9 +147,7 @@
     const ModelRequest* find(const RequestId&) const;
 
     HostContext& m_context;
-    Timers& m_timers;
-    ServicePools& m_pools;
-    RequestRegister& m_register;
+    Parts m_parts;
     Requests m_requests;
     std::map<RequestId, RequestId> m_takenOver; /**< Ids here by their ids at the hosts that handed them over. */
     size_t m_handedOverBytes { 0 };
--- a/packages/daemon/include/siskinspread/OwnerDesk.h
+++ b/packages/daemon/include/siskinspread/OwnerDesk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/AdmissionDesk.h"
 #include "siskinspread/AtMostOnce.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/LogWriter.h"
@@ -32,7 +33,14 @@
 public:
     using Done = std::function<void(const AnswerRequest&)>;
 
-    OwnerDesk(HostContext&, ServicePools&, RequestRegister&, LogWriter&);
+    struct Parts {
+        ServicePools& pools;
+        AdmissionDesk& admissions;
+        RequestRegister& requests;
+        LogWriter& log;
+    };
+
+    OwnerDesk(HostContext&, Parts);
 
     /** Takes a request; `done` is called once, possibly before submit returns. @return the id of the request. */
     RequestId submit(const OwnedRequest&, Done done);
@@ -50,7 +58,10 @@
     const AtMostOnceOptions& options() const { return m_options; }
 
     /** @return requests that have not been answered, or whose outcome is not on record. */
-    size_t openCount() const { return m_state.requests.size(); }
+    size_t openCount() const { return m_state.requests.size() + m_waiting.size(); }
+
+    /** @return part, 0 to 1, of all slices that are open here. */
+    double ownedShare() const { return static_cast<double>(m_state.slices.size()) / m_options.slices.sliceCount; }
 
     /** Raise at least every 50 ms. */
     void tick();
@@ -60,9 +71,16 @@
         OwnedRequest request;
         Done done;
         std::vector<std::string> excluded;
-        std::string backendServer; /**< Of the attempt in progress. */
+        std::optional<std::chrono::milliseconds> retryAfter; /**< From the refusal by admission. */
+    };
+    struct Attempt {
+        std::shared_ptr<ServicePool> pool;
+        std::string backendServer;
     };
 
+    void admit(const RequestArrived&, const std::shared_ptr<ServicePool>&);
+    void refuseWaiting(const RequestId&, ResultCode, std::optional<std::chrono::milliseconds> retryAfter);
+    void leaveWhenIdle(const RequestId&);
     void raise(const AtMostOnceEvent&);
     void raise(const AtMostOnceEvent&, MonotonicTime now);
     void run(const RecordIntent&);
@@ -74,12 +92,12 @@
     void attemptNotRun(const RequestId&, uint32_t attempt, const std::string& backendServer, ResultCode);
 
     HostContext& m_context;
-    ServicePools& m_pools;
-    RequestRegister& m_register;
-    LogWriter& m_log;
+    Parts m_parts;
     AtMostOnceOptions m_options;
     AtMostOnceState m_state;
     std::map<RequestId, Pending> m_pending;
+    std::map<RequestId, RequestArrived> m_waiting; /**< For a place in their pool; nothing is recorded of them. */
+    std::map<RequestId, Attempt> m_attempts; /**< In progress; may outlive the answer. */
 };
 
 } // namespace siskinspread
--- a/packages/daemon/include/siskinspread/PlainRequests.h
+++ b/packages/daemon/include/siskinspread/PlainRequests.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/AdmissionDesk.h"
 #include "siskinspread/CallerResponse.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/RequestRegister.h"
@@ -24,7 +25,6 @@
     std::string contentType;
     std::string body;
     MonotonicTime deadline {};
-    bool admitted { false };
     uint32_t attempts { 0 };
     std::vector<std::string> excluded;
     std::string backendServer; /**< Of the attempt in progress; empty between attempts. */
@@ -38,7 +38,7 @@
  */
 class PlainRequests {
 public:
-    PlainRequests(HostContext&, Timers&, RequestRegister&);
+    PlainRequests(HostContext&, Timers&, AdmissionDesk&, RequestRegister&);
 
     /** @param path below the service's own prefix, with its query. */
     void accept(const IncomingRequest&, std::shared_ptr<ServicePool>, std::string path, const std::string& customer, std::chrono::milliseconds timeLeft);
@@ -48,7 +48,7 @@
 
 private:
     PlainRequest* find(const RequestId&);
-    void refuseWaiting(const AdmissionRefusal&);
+    void admit(const PlainRequest&);
     void dispatch(PlainRequest&);
     void onEnded(const RequestId&, const TransferEnded&);
     void endAttempt(PlainRequest&, AttemptEnd);
@@ -59,6 +59,7 @@
 
     HostContext& m_context;
     Timers& m_timers;
+    AdmissionDesk& m_admissions;
     RequestRegister& m_register;
     std::map<RequestId, std::unique_ptr<PlainRequest>> m_requests;
     std::map<ExchangeId, RequestId> m_byExchange;
--- a/packages/daemon/include/siskinspread/ServicePools.h
+++ b/packages/daemon/include/siskinspread/ServicePools.h
@@ -25,6 +25,7 @@
     RoutingOptions routing;
     AdmissionState admission;
     AdmissionOptions admissionOptions;
+    MonotonicTime reviewAt { MonotonicTime::max() }; /**< When the waiting requests are looked at next; max when nobody asked for it. */
     RetryBudget retries;
     AttemptOptions attempts;
     StreamProgressOptions progress;
@@ -50,7 +51,7 @@
     uint64_t revision() const { return m_revision; }
 
     /** @return the service of this name, or null. */
-    ServicePool* find(std::string_view name);
+    std::shared_ptr<ServicePool> find(std::string_view name) const;
 
     /** @return the customer whose key this is, or nothing. */
     std::optional<std::string> customerOfKey(std::string_view key) const;
@@ -60,11 +61,15 @@
     /** Recomputes what depends on time; raise every few hundred milliseconds. */
     void refresh();
 
+    /** @param share part, 0 to 1, of the slices of idempotency keys that this host owns; in force from the next refresh. */
+    void setOwnedShare(double share) { m_ownedShare = share; }
+
 private:
     void configure(ServicePool&, const schema::Service&);
 
     HostContext& m_context;
     uint64_t m_revision { 0 };
+    double m_ownedShare { 0 };
     std::map<std::string, std::shared_ptr<ServicePool>, std::less<>> m_services;
     std::unordered_map<std::string, std::string> m_customersByDigest;
 };
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -3,6 +3,7 @@
 #include "DaemonOptions.h"
 #include "WakeSignal.h"
 #include "siskinspread/AccountLookups.h"
+#include "siskinspread/AdmissionDesk.h"
 #include "siskinspread/BackendStatusAdapter.h"
 #include "siskinspread/BackendTraffic.h"
 #include "siskinspread/CallerRoutes.h"
@@ -171,7 +172,9 @@
 
     void scheduleRefresh()
     {
+        m_pools.setOwnedShare(m_desk.ownedShare());
         m_pools.refresh();
+        m_admissions.review();
         m_timers.schedule(m_context.now + refreshInterval, [this] { scheduleRefresh(); });
     }
 
@@ -302,13 +305,14 @@
     LogWriter m_writer { m_context, m_store };
     RequestRegister m_requests { m_context, m_writer };
     ServicePools m_pools { m_context };
-    ModelRequests m_models { m_context, m_timers, m_pools, m_requests };
-    PlainRequests m_plain { m_context, m_timers, m_requests };
+    AdmissionDesk m_admissions { m_context, m_timers, m_pools };
+    ModelRequests m_models { m_context, { .timers = m_timers, .pools = m_pools, .admissions = m_admissions, .requests = m_requests } };
+    PlainRequests m_plain { m_context, m_timers, m_admissions, m_requests };
     PeerCalls m_peerCalls { m_context };
     PeerDirectory m_directory { m_context, m_timers, m_peerCalls };
     CopyDesk m_copies { m_context, m_timers, m_peerCalls, m_directory };
     LogCloser m_closer { m_context, m_timers, m_store };
-    OwnerDesk m_desk { m_context, m_pools, m_requests, m_writer };
+    OwnerDesk m_desk { m_context, { .pools = m_pools, .admissions = m_admissions, .requests = m_requests, .log = m_writer } };
     SliceKeeper m_slices { m_context, { .timers = m_timers, .peers = m_directory, .closer = m_closer, .desk = m_desk }, m_store };
     KeyedRequests m_keyed { m_context, { .requests = m_requests, .desk = m_desk, .slices = m_slices } };
     PeerAccounts m_peerAccounts { m_context, m_peerCalls, [this](const AccountQuery& query) { return localAccount(query); } };
--- a/packages/daemon/src/ModelAttempts.cpp
+++ b/packages/daemon/src/ModelAttempts.cpp
@@ -15,6 +15,7 @@
     constexpr int statusOk = 200;
     constexpr int statusFirstClientError = 400;
     constexpr int statusFirstServerError = 500;
+    constexpr uint32_t tokensInSample = 8; // one token alone is at the mercy of the reading thread
     constexpr const char* tokenIndexField = "siskinspread_token_index";
     constexpr const char* continueField = "siskinspread_continue_from";
 
@@ -31,6 +32,14 @@
         return index->get<uint32_t>();
     }
 
+    /** Notes that the server is about to hold the prompt's blocks. */
+    void noteCached(PoolView& view, const BackendServerView& server, std::span<const PrefixBlock> blocks, MonotonicTime now)
+    {
+        for (const PrefixBlock block : blocks) {
+            recordCached(view.cachedPrefixes, block, server.nameHash, now);
+        }
+    }
+
     /** @return whether the status says that the request is at fault, and not the server's load or state. */
     bool isRejection(int status)
     {
@@ -59,8 +68,9 @@
     }
     BackendServerView& server = pool.view.servers[choice->index];
     recordDispatch(server, choice->missingTokens, m_context.now);
-    recordPrefix(pool.view.popularity, request.blocks, request.promptTokens, m_context.now);
+    noteCached(pool.view, server, request.blocks, m_context.now);
     if (!request.attempts) {
+        recordPrefix(pool.view.popularity, request.blocks, request.promptTokens, m_context.now);
         depositRetryTokens(pool.retries, request.customer, m_context.now);
     }
     ++request.attempts;
@@ -72,7 +82,7 @@
     request.positionInAttempt = request.tokensSent;
     request.dispatchedAt = m_context.now;
     request.progress = beginProgress(m_context.now);
-    m_register.recordAttempt(request.id, request.backendServer);
+    m_parts.requests.recordAttempt(request.id, request.backendServer);
     const RequestId id = request.id;
     request.transfer = m_context.backendServers.start(transferFor(request), [this, id](const ClientEvent& event) { onEvent(id, event); });
     watchProgress(id, request.attempts);
@@ -103,7 +113,7 @@
     if (!request) {
         return;
     }
-    m_timers.schedule(progressDeadline(request->progress, request->pool->progress), [this, id, attempt] {
+    m_parts.timers.schedule(progressDeadline(request->progress, request->pool->progress), [this, id, attempt] {
         ModelRequest* watched = find(id);
         if (!watched || watched->attempts != attempt || watched->backendServer.empty()) {
             return;
@@ -195,11 +205,7 @@
         return;
     }
     request.positionInAttempt = *index + 1;
-    if (request.tokensSent == request.continuedFrom) {
-        if (BackendServerView* server = findBackendServer(request.pool->view, request.backendServer)) {
-            recordFirstToken(*server, request.pool->view.options, std::chrono::duration_cast<std::chrono::microseconds>(m_context.now - request.dispatchedAt), m_context.now);
-        }
-    }
+    measureToken(request);
     ++request.tokensSent;
     request.mostSent = std::max(request.mostSent, request.tokensSent);
     recordProgress(request.progress, 1, m_context.now);
@@ -213,6 +219,28 @@
     request.sink->send(SendChunk { .exchange = request.exchange, .data = tokenEvent(request.tokensSent, chunk) });
 }
 
+// Before the token is counted.
+void ModelRequests::measureToken(ModelRequest& request) const
+{
+    using std::chrono::microseconds;
+    BackendServerView* server = findBackendServer(request.pool->view, request.backendServer);
+    if (!server) {
+        return;
+    }
+    const PoolOptions& options = request.pool->view.options;
+    if (request.tokensSent == request.continuedFrom) {
+        recordFirstToken(*server, options, std::chrono::duration_cast<microseconds>(m_context.now - request.dispatchedAt), m_context.now);
+        request.sampleBegan = m_context.now;
+        request.sampleTokens = 0;
+        return;
+    }
+    if (++request.sampleTokens == tokensInSample) {
+        recordBetweenTokens(*server, options, std::chrono::duration_cast<microseconds>(m_context.now - request.sampleBegan) / tokensInSample, m_context.now);
+        request.sampleBegan = m_context.now;
+        request.sampleTokens = 0;
+    }
+}
+
 void ModelRequests::onEnded(ModelRequest& request, const TransferEnded& ended)
 {
     request.transfer = 0;
@@ -269,7 +297,7 @@
         after = continuation.after;
         m_context.metrics.countTokensRecomputed(request.pool->service.name(), continuation.recomputedTokens);
     }
-    m_timers.schedule(m_context.now + after, [this, id = request.id, term = request.term] {
+    m_parts.timers.schedule(m_context.now + after, [this, id = request.id, term = request.term] {
         ModelRequest* waiting = find(id);
         if (waiting && waiting->term == term && waiting->backendServer.empty()) {
             dispatch(*waiting);
--- a/packages/daemon/src/ModelHandover.cpp
+++ b/packages/daemon/src/ModelHandover.cpp
@@ -25,8 +25,8 @@
         return taken->second;
     }
     const std::string model = offer.body["model"].get<std::string>();
-    const auto service = m_pools.services().find(model);
-    if (service == m_pools.services().end() || service->second->service.kind() != schema::MODEL) {
+    const auto service = m_parts.pools.services().find(model);
+    if (service == m_parts.pools.services().end() || service->second->service.kind() != schema::MODEL) {
         return fail(reason, ResultCode::UnknownService, "no model has the name " + model);
     }
     if (offer.timeLeft <= std::chrono::milliseconds { 0 }) {
@@ -44,7 +44,7 @@
     request->runState = offer.runState;
     request->tokensSent = offer.tokensSent;
     request->mostSent = offer.tokensSent;
-    request->id = m_register.accept(offer.customer, model);
+    request->id = m_parts.requests.accept(offer.customer, model);
     const RequestId id = request->id;
     m_takenOver.emplace(offer.from, id);
     m_handedOverBytes += bytes;
@@ -138,7 +138,7 @@
     if (request->sink) {
         tellCaller(*request, { .code = code, .runState = request->runState, .detail = "no other host took the request; send it again" });
     }
-    m_register.finish(id, code, request->runState);
+    m_parts.requests.finish(id, code, request->runState);
     erase(id);
 }
 
--- a/packages/daemon/src/ModelRequests.cpp
+++ b/packages/daemon/src/ModelRequests.cpp
@@ -31,11 +31,9 @@
     return request;
 }
 
-ModelRequests::ModelRequests(HostContext& context, Timers& timers, ServicePools& pools, RequestRegister& requests)
+ModelRequests::ModelRequests(HostContext& context, Parts parts)
     : m_context(context)
-    , m_timers(timers)
-    , m_pools(pools)
-    , m_register(requests)
+    , m_parts(parts)
 {
 }
 
@@ -43,13 +41,13 @@
 {
     auto body = parseChatBody(incoming.body);
     if (!isChatRequest(body)) {
-        sendRefusal(m_context, m_context.callers, incoming.exchange, m_register.refusalId(), { .code = ResultCode::MalformedRequest, .detail = chatRequestRule });
+        sendRefusal(m_context, m_context.callers, incoming.exchange, m_parts.requests.refusalId(), { .code = ResultCode::MalformedRequest, .detail = chatRequestRule });
         return;
     }
     const std::string model = body["model"].get<std::string>();
-    const auto service = m_pools.services().find(model);
-    if (service == m_pools.services().end() || service->second->service.kind() != schema::MODEL) {
-        sendRefusal(m_context, m_context.callers, incoming.exchange, m_register.refusalId(), { .code = ResultCode::UnknownService, .detail = "no model has the name " + model });
+    const auto service = m_parts.pools.services().find(model);
+    if (service == m_parts.pools.services().end() || service->second->service.kind() != schema::MODEL) {
+        sendRefusal(m_context, m_context.callers, incoming.exchange, m_parts.requests.refusalId(), { .code = ResultCode::UnknownService, .detail = "no model has the name " + model });
         return;
     }
     auto request = makeModelRequest(std::move(body), service->second);
@@ -57,7 +55,7 @@
     request->exchange = incoming.exchange;
     request->customer = customer;
     request->deadline = m_context.now + timeLeft;
-    request->id = m_register.accept(customer, model);
+    request->id = m_parts.requests.accept(customer, model);
     ModelRequest& accepted = *request;
     m_byExchange.emplace(std::pair { accepted.sink, accepted.exchange }, accepted.id);
     open(std::move(request));
@@ -69,58 +67,30 @@
     const RequestId id = request->id;
     const MonotonicTime deadline = request->deadline;
     m_requests.emplace(id, std::move(request));
-    m_timers.schedule(deadline, [this, id] {
+    m_parts.timers.schedule(deadline, [this, id] {
         ModelRequest* late = find(id);
         if (late && late->sink) {
             giveUp(*late, { .code = ResultCode::DeadlineExpired, .runState = runStateNow(*late) });
         } else if (late) {
-            m_register.finish(id, ResultCode::CallerGone, late->runState);
+            m_parts.requests.finish(id, ResultCode::CallerGone, late->runState);
             erase(id);
         }
     });
 }
 
-void ModelRequests::admit(ModelRequest& request)
+void ModelRequests::admit(const ModelRequest& request)
 {
-    ServicePool& pool = *request.pool;
-    const schema::CustomerLimit limit = customerLimit(pool.service, request.customer);
-    const auto decision = admitRequest(pool.admission, pool.admissionOptions,
-        { .sequence = request.id.sequence, .customer = request.customer, .weight = limit.weight(), .customerLimit = limit.max_in_flight(), .work = static_cast<double>(request.promptTokens), .deadline = request.deadline, .expectedDuration = leastAnswerTime },
-        m_context.now);
-    if (decision.displaced) {
-        refuseWaiting(*decision.displaced);
-    }
-    switch (decision.outcome) {
-    case AdmissionOutcome::Admitted:
-        request.admitted = true;
-        dispatch(request);
-        return;
-    case AdmissionOutcome::Waiting:
-        return;
-    case AdmissionOutcome::Refused:
-        refuseWaiting(*decision.refusal);
-        return;
-    }
-}
-
-void ModelRequests::refuseWaiting(const AdmissionRefusal& refusal)
-{
-    if (ModelRequest* request = find({ .incarnation = m_context.incarnation, .sequence = refusal.sequence })) {
-        giveUp(*request, { .code = refusal.code, .runState = RunState::NotRun, .retryAfter = refusal.retryAfter });
-    }
-}
-
-void ModelRequests::applyChanges(ServicePool&, const AdmissionChanges& changes)
-{
-    for (const AdmissionRefusal& refusal : changes.refused) {
-        refuseWaiting(refusal);
-    }
-    for (const uint64_t sequence : changes.admitted) {
-        if (ModelRequest* request = find({ .incarnation = m_context.incarnation, .sequence = sequence })) {
-            request->admitted = true;
-            dispatch(*request);
-        }
-    }
+    const RequestId id = request.id;
+    m_parts.admissions.enter(id.sequence,
+        { .pool = request.pool,
+            .customer = request.customer,
+            .work = static_cast<double>(request.promptTokens),
+            .deadline = request.deadline,
+            .expectedDuration = leastAnswerTime,
+            .admitted = [this, id] { dispatch(*find(id)); },
+            .refused = [this, id](const AdmissionRefusal& refusal) {
+                ModelRequest& refused = *find(id);
+                giveUp(refused, { .code = refusal.code, .runState = refused.runState, .retryAfter = refusal.retryAfter }); } });
 }
 
 void ModelRequests::startResponse(ModelRequest& request)
@@ -142,7 +112,7 @@
     } else {
         request.sink->send(wholeAnswer(request.exchange, end, request.text));
     }
-    m_register.finish(request.id, ResultCode::Ok, RunState::Ran);
+    m_parts.requests.finish(request.id, ResultCode::Ok, RunState::Ran);
     erase(request.id);
 }
 
@@ -165,7 +135,7 @@
         park(request); // the caller comes back with the id
         return;
     }
-    m_register.finish(request.id, refusal.code, refusal.runState);
+    m_parts.requests.finish(request.id, refusal.code, refusal.runState);
     erase(request.id);
 }
 
@@ -181,7 +151,7 @@
         park(request);
         return;
     }
-    m_register.finish(id, ResultCode::CallerGone, runStateNow(request));
+    m_parts.requests.finish(id, ResultCode::CallerGone, runStateNow(request));
     erase(id);
 }
 
@@ -201,15 +171,7 @@
     m_context.backendServers.cancel(request.transfer);
     request.transfer = 0;
     closeAttempt(request);
-    ServicePool& pool = *request.pool;
-    if (!request.admitted) {
-        cancelWaiting(pool.admission, request.id.sequence);
-        return;
-    }
-    request.admitted = false;
-    AdmissionChanges changes;
-    finishRequest(pool.admission, pool.admissionOptions, request.customer, m_context.now, changes);
-    applyChanges(pool, changes);
+    m_parts.admissions.leave(request.id.sequence);
 }
 
 // The request is destroyed last: those that are admitted in its place may come before this one in the map.
--- a/packages/daemon/src/OwnerDesk.cpp
+++ b/packages/daemon/src/OwnerDesk.cpp
@@ -11,6 +11,7 @@
     constexpr int statusFirstServerError = 500;
     // A call that ends later than this is held to be lost; its outcome is then unknown.
     constexpr std::chrono::milliseconds longestCall { 60'000 };
+    constexpr std::chrono::milliseconds leastAnswerTime { 5 };
 
     ResultCode resultOf(int status)
     {
@@ -19,30 +20,65 @@
 
 } // namespace
 
-OwnerDesk::OwnerDesk(HostContext& context, ServicePools& pools, RequestRegister& requests, LogWriter& log)
+OwnerDesk::OwnerDesk(HostContext& context, Parts parts)
     : m_context(context)
-    , m_pools(pools)
-    , m_register(requests)
-    , m_log(log)
+    , m_parts(parts)
 {
     m_state.self = context.incarnation;
 }
 
 RequestId OwnerDesk::submit(const OwnedRequest& request, Done done)
 {
-    RequestId id = m_register.issueId(true);
-    m_pending.emplace(id, Pending { .request = request, .done = std::move(done), .excluded = {}, .backendServer = {} });
-    raise(RequestArrived {
+    RequestId id = m_parts.requests.issueId(true);
+    m_pending.emplace(id, Pending { .request = request, .done = std::move(done), .excluded = {}, .retryAfter = {} });
+    const RequestArrived arrived {
         .request = id,
         .key = request.key,
         .digest = digestOf(request.method, request.service + request.path, request.body),
         .service = request.service,
         .entryHost = request.entryHost,
         .deadline = m_context.now + request.timeLeft,
-    });
+        .notAdmitted = {},
+    };
+    const auto pool = m_parts.pools.find(request.service);
+    if (pool && wouldDispatch(m_state, m_options, arrived, { .monotonic = m_context.now, .wall = m_context.wall })) {
+        admit(arrived, pool);
+    } else {
+        raise(arrived);
+    }
     return id;
 }
 
+// Before the intent is recorded, so that what is refused has not run. The key is looked at again once there is a place.
+void OwnerDesk::admit(const RequestArrived& arrived, const std::shared_ptr<ServicePool>& pool)
+{
+    const RequestId id = arrived.request;
+    m_waiting.emplace(id, arrived);
+    m_parts.admissions.enter(id.sequence,
+        { .pool = pool,
+            .customer = arrived.key.customer,
+            .deadline = arrived.deadline,
+            .expectedDuration = leastAnswerTime,
+            .admitted = [this, id] { raise(m_waiting.extract(id).mapped()); },
+            .refused = [this, id](const AdmissionRefusal& refusal) { refuseWaiting(id, refusal.code, refusal.retryAfter); } });
+}
+
+void OwnerDesk::refuseWaiting(const RequestId& id, ResultCode code, std::optional<std::chrono::milliseconds> retryAfter)
+{
+    RequestArrived arrived = m_waiting.extract(id).mapped();
+    arrived.notAdmitted = code;
+    m_pending.at(id).retryAfter = retryAfter;
+    raise(arrived);
+}
+
+// An attempt may go on after its caller was answered, and keeps its place meanwhile.
+void OwnerDesk::leaveWhenIdle(const RequestId& id)
+{
+    if (!m_pending.contains(id) && !m_attempts.contains(id)) {
+        m_parts.admissions.leave(id.sequence);
+    }
+}
+
 void OwnerDesk::takeSlice(const SliceTaken& event)
 {
     raise(event);
@@ -65,6 +101,11 @@
 
 void OwnerDesk::expireAll()
 {
+    while (!m_waiting.empty()) {
+        const RequestId id = m_waiting.begin()->first;
+        m_parts.admissions.leave(id.sequence);
+        refuseWaiting(id, ResultCode::Draining, std::nullopt);
+    }
     raise(AtMostOnceTick {}, MonotonicTime::max());
 }
 
@@ -85,7 +126,7 @@
 void OwnerDesk::run(const RecordIntent& action)
 {
     const RequestId id = action.entry.request;
-    m_log.append(action.entry, [this, id](bool durable, ResultCode code) {
+    m_parts.log.append(action.entry, [this, id](bool durable, ResultCode code) {
         if (durable) {
             raise(IntentDurable { .request = id });
         } else {
@@ -97,7 +138,7 @@
 void OwnerDesk::run(const RecordOutcome& action)
 {
     const RequestId id = action.entry.account.request;
-    m_log.append(action.entry, [this, id](bool durable, ResultCode) {
+    m_parts.log.append(action.entry, [this, id](bool durable, ResultCode) {
         if (durable) {
             raise(OutcomeDurable { .request = id });
         } else {
@@ -108,7 +149,7 @@
 
 void OwnerDesk::run(const RecordAccount& action)
 {
-    m_log.append(action.entry);
+    m_parts.log.append(action.entry);
 }
 
 void OwnerDesk::run(const DispatchRequest& action)
@@ -118,7 +159,7 @@
         return;
     }
     Pending& pending = entry->second;
-    ServicePool* pool = m_pools.find(pending.request.service);
+    const auto pool = m_parts.pools.find(pending.request.service);
     LastReason reason { .code = ResultCode::UnknownService, .detail = {} };
     std::optional<RouteChoice> choice;
     if (pool) {
@@ -133,10 +174,11 @@
     if (action.attempt == 1) {
         depositRetryTokens(pool->retries, pending.request.key.customer, m_context.now);
     }
-    pending.backendServer = server.description.name;
+    const std::string& backendServer = server.description.name;
+    m_attempts.insert_or_assign(action.request, Attempt { .pool = pool, .backendServer = backendServer });
     StartTransfer transfer;
     transfer.method = pending.request.method;
-    transfer.url = "http://" + pool->addresses.at(pending.backendServer) + pending.request.path;
+    transfer.url = "http://" + pool->addresses.at(backendServer) + pending.request.path;
     transfer.headers = {
         { .name = "Content-Type", .value = "application/json" },
         { .name = header::requestId, .value = formatRequestId(action.request) },
@@ -150,26 +192,23 @@
     });
 }
 
-void OwnerDesk::onAttemptEnded(const RequestId& id, uint32_t attempt, const TransferEnded& ended)
+void OwnerDesk::onAttemptEnded(const RequestId& id, uint32_t attempt, const TransferEnded& transfer)
 {
-    const auto entry = m_pending.find(id);
-    std::string backendServer;
-    if (entry != m_pending.end()) {
-        backendServer = entry->second.backendServer;
-        ServicePool* pool = m_pools.find(entry->second.request.service);
-        if (BackendServerView* server = pool ? findBackendServer(pool->view, backendServer) : nullptr) {
-            recordFinish(*server, m_context.now);
-        }
+    const Attempt ended = m_attempts.extract(id).mapped();
+    const std::string& backendServer = ended.backendServer;
+    if (BackendServerView* server = findBackendServer(ended.pool->view, backendServer)) {
+        recordFinish(*server, m_context.now);
     }
-    if (ended.end == TransferEnd::NothingSent) {
+    if (transfer.end == TransferEnd::NothingSent) {
         attemptNotRun(id, attempt, backendServer, ResultCode::BackendConnectFailed);
-    } else if (ended.end != TransferEnd::Complete) {
+    } else if (transfer.end != TransferEnd::Complete) {
         raise(AttemptUnknown { .request = id, .attempt = attempt, .backendServer = backendServer });
-    } else if (findHeader(ended.headers, header::notRun)) {
+    } else if (findHeader(transfer.headers, header::notRun)) {
         attemptNotRun(id, attempt, backendServer, ResultCode::BackendRefused);
     } else {
-        raise(AttemptAnswered { .request = id, .attempt = attempt, .backendServer = backendServer, .result = resultOf(ended.status), .httpStatus = ended.status, .response = ended.body });
+        raise(AttemptAnswered { .request = id, .attempt = attempt, .backendServer = backendServer, .result = resultOf(transfer.status), .httpStatus = transfer.status, .response = transfer.body });
     }
+    leaveWhenIdle(id);
 }
 
 void OwnerDesk::attemptNotRun(const RequestId& id, uint32_t attempt, const std::string& backendServer, ResultCode code)
@@ -179,7 +218,7 @@
     if (entry != m_pending.end()) {
         Pending& pending = entry->second;
         pending.excluded.push_back(backendServer);
-        ServicePool* pool = m_pools.find(pending.request.service);
+        const auto pool = m_parts.pools.find(pending.request.service);
         retryAllowed = pool && attempt < pool->attempts.maximumAttempts && withdrawRetryToken(pool->retries, pending.request.key.customer, m_context.now);
     }
     if (retryAllowed) {
@@ -195,9 +234,14 @@
         return;
     }
     const Done done = std::move(entry->second.done);
+    AnswerRequest answer = action;
+    if (action.retryAfter && entry->second.retryAfter) {
+        answer.retryAfter = entry->second.retryAfter;
+    }
     m_context.metrics.countRequest(entry->second.request.service, action.result);
     m_pending.erase(entry);
-    done(action);
+    done(answer);
+    leaveWhenIdle(action.request);
 }
 
 } // namespace siskinspread
--- a/packages/daemon/src/PlainRequests.cpp
+++ b/packages/daemon/src/PlainRequests.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-PlainRequests::PlainRequests(HostContext& context, Timers& timers, RequestRegister& requests)
+PlainRequests::PlainRequests(HostContext& context, Timers& timers, AdmissionDesk& admissions, RequestRegister& requests)
     : m_context(context)
     , m_timers(timers)
+    , m_admissions(admissions)
     , m_register(requests)
 {
 }
@@ -42,26 +43,19 @@
             giveUp(*late, { .code = ResultCode::DeadlineExpired, .runState = runStateNow(*late) });
         }
     });
-    ServicePool& service = *accepted.pool;
-    const schema::CustomerLimit limit = customerLimit(service.service, customer);
-    const auto decision = admitRequest(service.admission, service.admissionOptions,
-        { .sequence = accepted.id.sequence, .customer = customer, .weight = limit.weight(), .customerLimit = limit.max_in_flight(), .deadline = accepted.deadline, .expectedDuration = leastAnswerTime }, m_context.now);
-    if (decision.displaced) {
-        refuseWaiting(*decision.displaced);
-    }
-    if (decision.outcome == AdmissionOutcome::Admitted) {
-        accepted.admitted = true;
-        dispatch(accepted);
-    } else if (decision.outcome == AdmissionOutcome::Refused) {
-        refuseWaiting(*decision.refusal);
-    }
+    admit(accepted);
 }
 
-void PlainRequests::refuseWaiting(const AdmissionRefusal& refusal)
+void PlainRequests::admit(const PlainRequest& request)
 {
-    if (PlainRequest* request = find({ .incarnation = m_context.incarnation, .sequence = refusal.sequence })) {
-        giveUp(*request, { .code = refusal.code, .runState = RunState::NotRun, .retryAfter = refusal.retryAfter });
-    }
+    const RequestId id = request.id;
+    m_admissions.enter(id.sequence,
+        { .pool = request.pool,
+            .customer = request.customer,
+            .deadline = request.deadline,
+            .expectedDuration = leastAnswerTime,
+            .admitted = [this, id] { dispatch(*find(id)); },
+            .refused = [this, id](const AdmissionRefusal& refusal) { giveUp(*find(id), { .code = refusal.code, .runState = RunState::NotRun, .retryAfter = refusal.retryAfter }); } });
 }
 
 void PlainRequests::dispatch(PlainRequest& request)
@@ -190,22 +184,7 @@
     m_byExchange.erase(request->exchange);
     m_context.backendServers.cancel(request->transfer);
     closeAttempt(*request);
-    ServicePool& pool = *request->pool;
-    if (!request->admitted) {
-        cancelWaiting(pool.admission, id.sequence);
-        return;
-    }
-    AdmissionChanges changes;
-    finishRequest(pool.admission, pool.admissionOptions, request->customer, m_context.now, changes);
-    for (const AdmissionRefusal& refusal : changes.refused) {
-        refuseWaiting(refusal);
-    }
-    for (const uint64_t sequence : changes.admitted) {
-        if (PlainRequest* waiting = find({ .incarnation = m_context.incarnation, .sequence = sequence })) {
-            waiting->admitted = true;
-            dispatch(*waiting);
-        }
-    }
+    m_admissions.leave(id.sequence);
 }
 
 PlainRequest* PlainRequests::find(const RequestId& id)
--- a/packages/daemon/src/ServicePools.cpp
+++ b/packages/daemon/src/ServicePools.cpp
@@ -15,15 +15,6 @@
     constexpr double poolOvercommit = 1.5;
     constexpr uint32_t defaultMaxInFlight = 64;
 
-    double totalSlots(const PoolView& view, MonotonicTime now)
-    {
-        double slots = 0;
-        for (const BackendServerView& server : view.servers) {
-            slots += usableSlots(view, server, now);
-        }
-        return slots;
-    }
-
 } // namespace
 
 std::string sha256Hex(std::string_view text)
@@ -81,6 +72,8 @@
 {
     pool.service = service;
     pool.routing.weights = { .latencyBoundCost = service.weights().latency_bound_cost(), .recomputedTokens = service.weights().recomputed_tokens() };
+    pool.routing.firstTokenTarget = std::chrono::milliseconds { service.first_token_target_ms() };
+    pool.routing.instructionTokens = service.instruction_tokens();
     pool.attempts.maximumAttempts = service.max_attempts();
     pool.progress.firstToken = std::chrono::milliseconds { service.progress_timeout_ms() };
     pool.progress.betweenTokens = std::chrono::milliseconds { service.progress_timeout_ms() };
@@ -102,10 +95,10 @@
     removeGoneServers(pool.view);
 }
 
-ServicePool* ServicePools::find(std::string_view name)
+std::shared_ptr<ServicePool> ServicePools::find(std::string_view name) const
 {
     const auto entry = m_services.find(name);
-    return entry == m_services.end() ? nullptr : entry->second.get();
+    return entry == m_services.end() ? nullptr : entry->second;
 }
 
 std::optional<std::string> ServicePools::customerOfKey(std::string_view key) const
@@ -121,7 +114,8 @@
 {
     for (const auto& [name, pool] : m_services) {
         refreshPoolView(pool->view, m_context.now);
-        pool->admissionOptions.poolLimit = admissionLimit(totalSlots(pool->view, m_context.now), poolOvercommit, pool->view.entryHosts);
+        const double ownedShare = pool->service.non_repeatable_calls_size() ? m_ownedShare : 0;
+        pool->admissionOptions.poolLimit = admissionLimit(poolSlots(pool->view, m_context.now), poolOvercommit, pool->view.entryHosts, ownedShare);
     }
 }
 
--- a/packages/decisions/include/siskinspread/Admission.h
+++ b/packages/decisions/include/siskinspread/Admission.h
@@ -82,8 +82,13 @@
     std::vector<AdmissionRefusal> refused;
 };
 
-/** @return this host's part of what the pool can hold: usable slots times `overcommit`, over the entry hosts; at least 1. Reentrant. */
-uint32_t admissionLimit(double poolSlots, double overcommit, uint32_t entryHosts);
+/**
+ * @param ownedShare part, 0 to 1, of the slices of idempotency keys that this host owns, where the pool takes calls that
+ * may not be repeated: those reach it through the owners only.
+ * @return this host's part of what the pool can hold: usable slots times `overcommit`, over the entry hosts or times
+ * `ownedShare`, whichever is more; at least 1. Reentrant.
+ */
+uint32_t admissionLimit(double poolSlots, double overcommit, uint32_t entryHosts, double ownedShare = 0);
 
 /**
  * Decides about an arriving request: admitted, queued (start-time fair queueing by customer: Goyal, Vin and Cheng,
--- a/packages/decisions/include/siskinspread/AtMostOnce.h
+++ b/packages/decisions/include/siskinspread/AtMostOnce.h
@@ -82,6 +82,7 @@
     std::string service;
     std::string entryHost;
     MonotonicTime deadline {};
+    std::optional<ResultCode> notAdmitted; /**< Why the pool has no place for it, where wouldDispatch asked for one. */
 };
 struct IntentDurable {
     RequestId request;
@@ -180,6 +181,12 @@
  */
 void step(AtMostOnceState& state, const AtMostOnceOptions& options, const AtMostOnceEvent& event, ClockReading now, std::vector<AtMostOnceAction>& actions);
 
+/**
+ * @return whether the request would be the first to run under its key, so that it needs a place in its pool before it is
+ * raised. What is answered from the record, or refused, needs none. Thread safety: reads only.
+ */
+bool wouldDispatch(const AtMostOnceState& state, const AtMostOnceOptions& options, const RequestArrived& event, ClockReading now);
+
 /** @return requests of the slice that are not finished; a released slice is idle at zero. Thread safety: reads only. */
 size_t openRequests(const AtMostOnceState& state, uint32_t slice);
 
--- a/packages/decisions/include/siskinspread/PoolView.h
+++ b/packages/decisions/include/siskinspread/PoolView.h
@@ -171,4 +171,10 @@
  */
 double usableSlots(const PoolView& view, const BackendServerView& server, MonotonicTime now);
 
+/**
+ * Requests that the pool carries, for its admission limit: usable slots, with slow start counted against the server that is
+ * furthest in it. So a returning server counts little, and a pool of which this host has just learned counts whole.
+ */
+double poolSlots(const PoolView& view, MonotonicTime now);
+
 } // namespace siskinspread
--- a/packages/decisions/src/Admission.cpp
+++ b/packages/decisions/src/Admission.cpp
@@ -215,9 +215,10 @@
 
 } // namespace
 
-uint32_t admissionLimit(double poolSlots, double overcommit, uint32_t entryHosts)
+uint32_t admissionLimit(double poolSlots, double overcommit, uint32_t entryHosts, double ownedShare)
 {
-    const double limit = poolSlots * overcommit / std::max(1U, entryHosts);
+    const double share = std::max(1.0 / std::max(1U, entryHosts), ownedShare);
+    const double limit = poolSlots * overcommit * share;
     return std::max(1U, static_cast<uint32_t>(limit));
 }
 
--- a/packages/decisions/src/AtMostOnceAdmission.cpp
+++ b/packages/decisions/src/AtMostOnceAdmission.cpp
@@ -29,7 +29,12 @@
     if (now.monotonic >= event.deadline) {
         return ResultCode::DeadlineExpired;
     }
-    return std::nullopt;
+    return event.notAdmitted;
+}
+
+bool wouldDispatch(const AtMostOnceState& state, const AtMostOnceOptions& options, const RequestArrived& event, ClockReading now)
+{
+    return !state.logEnded && !state.keys.contains(event.key) && !reasonToRefuse(state, options, event, now);
 }
 
 std::optional<std::chrono::milliseconds> retryAfterOf(ResultCode code, const AtMostOnceOptions& options)
--- a/packages/decisions/src/PoolView.cpp
+++ b/packages/decisions/src/PoolView.cpp
@@ -207,4 +207,16 @@
     return slots * warm / server.slowness;
 }
 
+double poolSlots(const PoolView& view, MonotonicTime now)
+{
+    double slots = 0;
+    double warmest = view.options.slowStartFloor;
+    for (const BackendServerView& server : view.servers) {
+        const double usable = usableSlots(view, server, now);
+        slots += usable;
+        warmest = usable > 0 ? std::max(warmest, slowStartShare(view, server, now)) : warmest;
+    }
+    return slots / warmest;
+}
+
 } // namespace siskinspread
--- a/packages/decisions/tests/AdmissionTest.cpp
+++ b/packages/decisions/tests/AdmissionTest.cpp
@@ -176,6 +176,8 @@
     CHECK(changes.refused[0].code == ResultCode::DeadlineTooClose);
     CHECK(admissionLimit(320, 1.0, 7) == 45);
     CHECK(admissionLimit(0, 1.0, 7) == 1);
+    CHECK(admissionLimit(64, 1.5, 380, 1.0 / 16) == 6); // an owner of keys dispatches for all hosts
+    CHECK(admissionLimit(64, 1.5, 4, 1.0 / 16) == 24);
 }
 
 TEST_CASE("a waiting request whose caller has gone leaves the queue")
--- a/packages/decisions/tests/PoolViewTest.cpp
+++ b/packages/decisions/tests/PoolViewTest.cpp
@@ -94,4 +94,19 @@
     CHECK(findBackendServer(view, "2")->status == BackendStatus::Live);
 }
 
+TEST_CASE("slow start lowers what a pool carries only against servers that are further in it")
+{
+    PoolView view;
+    for (const char* name : { "first", "second" }) {
+        setBackendStatus(view.servers[upsertBackendServer(view, { .name = name, .failureDomain = "a" })], BackendStatus::Live, MonotonicTime { 1h });
+    }
+    CHECK(poolSlots(view, MonotonicTime { 1h }) == 32); // a host that has just started
+    const MonotonicTime later { 2h };
+    setBackendStatus(view.servers[0], BackendStatus::Gone, later);
+    CHECK(poolSlots(view, later) == 16);
+    setBackendStatus(view.servers[0], BackendStatus::Live, later);
+    CHECK(poolSlots(view, later) == doctest::Approx(16 + 16 * view.options.slowStartFloor));
+    CHECK(poolSlots(view, later + view.options.slowStart) == 32);
+}
+
 } // namespace siskinspread
--- a/packages/settings/src/ServiceChecks.cpp
+++ b/packages/settings/src/ServiceChecks.cpp
@@ -16,6 +16,13 @@
         }
     }
 
+    void checkInstructions(const schema::Service& service, const std::string& key, ProblemCollector& problems)
+    {
+        if (service.kind() == schema::PLAIN && service.instruction_tokens() > 0) {
+            problems.add(key + ".instruction_tokens", "is " + std::to_string(service.instruction_tokens()) + "; allowed: above 0 only where kind is \"model\"");
+        }
+    }
+
     void checkTimes(const schema::Service& service, const std::string& key, ProblemCollector& problems)
     {
         const std::string progress = std::to_string(service.progress_timeout_ms());
@@ -77,6 +84,7 @@
 void checkService(const schema::Service& service, const std::string& key, ProblemCollector& problems)
 {
     checkName(service, key, problems);
+    checkInstructions(service, key, problems);
     checkTimes(service, key, problems);
     checkWeights(service.weights(), key, problems);
     checkNonRepeatableCalls(service, key, problems);
--- a/packages/settings/tests/ServiceFileTest.cpp
+++ b/packages/settings/tests/ServiceFileTest.cpp
@@ -79,6 +79,8 @@
         { "max_attempts = 2", "max_attempts = 11", "f.toml:6: services[0].max_attempts: is 11; allowed: a whole number from 1 to 10" },
         { "2000", "1000", "f.toml:7: services[0].progress_timeout_ms: is 1000; allowed: at least first_token_target_ms, which is 1400" },
         { "2000", "2000\nfirst_token_target_ms = 9\nbetween_tokens_target_ms = 2000", "f.toml:7: services[0].progress_timeout_ms: is 2000; allowed: more than between_tokens_target_ms" },
+        { "2000", "2000\ninstruction_tokens = 9", "f.toml:8: services[0].instruction_tokens: is 9; allowed: above 0 only where kind is \"model\"" },
+        { "2000", "2000\ninstruction_tokens = 100001", "f.toml:8: services[0].instruction_tokens: is 100001; allowed: a whole number" },
         { "true", "1", "f.toml:8: services[0].checks_fencing_numbers: is a whole number; allowed: true or false" },
         { "latency_bound_cost = 2", "latency_bound_cost = -1", "f.toml:9: services[0].weights.latency_bound_cost: is -1.0; allowed: a number from 0.0 to 1000.0" },
         { "latency_bound_cost = 2", "latency_bound_cost = nan", "f.toml:9: services[0].weights.latency_bound_cost: is a floating-point number" },
--- a/tools/SettingsTable.cpp
+++ b/tools/SettingsTable.cpp
@@ -28,7 +28,8 @@
 
 constexpr const char* serviceContradictions = R"(
 Refused as contradictory in one file: `progress_timeout_ms` below `first_token_target_ms`, or not above
-`between_tokens_target_ms`; both weights zero; a call, a customer's limit, or the name or address of a backend server
+`between_tokens_target_ms`; both weights zero;
+`instruction_tokens` above 0 where `kind` is "plain"; a call, a customer's limit, or the name or address of a backend server
 that stands twice in a service; a file without services and customers.
 
 Refused as contradictory between files: two descriptions of one service, of one customer or of one key; a limit for a
