--- a/packages/ctl/include/siskinspread/OperatorReports.h
+++ b/packages/ctl/include/siskinspread/OperatorReports.h
@@ -50,12 +50,29 @@
     uint32_t openRequests { 0 };
 };
 
+/** What the holder of a duty tells of an engine that it orders. */
+struct OrderedEngineStatus {
+    std::string backendServer {};
+    std::string wanted {};
+    std::string loaded {}; /**< Empty when the holder has not read it yet. */
+    bool heldBack { false }; /**< Out of routing for a change. */
+};
+
+/** A duty that an entry host holds. */
+struct DutyStatus {
+    std::string duty {};
+    std::string holder {};
+    uint64_t fencingNumber { 0 };
+    std::vector<OrderedEngineStatus> engines {};
+};
+
 /** What one entry host knows of the system. */
 struct SystemStatus {
     std::string observer {}; /**< The entry host that answered. */
     uint64_t configurationRevision { 0 };
     std::vector<EntryHostStatus> entryHosts {};
     std::vector<BackendServerStatus> backendServers {};
+    std::vector<DutyStatus> duties {}; /**< Of the hosts that answered. */
 };
 
 /**
--- a/packages/ctl/src/NetworkOperatorApi.cpp
+++ b/packages/ctl/src/NetworkOperatorApi.cpp
@@ -55,6 +55,15 @@
         return document;
     }
 
+    DutyStatus dutyOf(const nlohmann::json& document)
+    {
+        DutyStatus duty { .duty = document.value("duty", ""), .holder = document.value("holder", ""), .fencingNumber = document.value("fencing_number", uint64_t { 0 }) };
+        for (const auto& engine : document.value("engines", nlohmann::json::array())) {
+            duty.engines.push_back({ .backendServer = engine.value("backend_server", ""), .wanted = engine.value("wanted", ""), .loaded = engine.value("loaded", ""), .heldBack = engine.value("held_back", false) });
+        }
+        return duty;
+    }
+
     SystemStatus statusOf(const nlohmann::json& document)
     {
         SystemStatus status;
@@ -66,6 +75,9 @@
         for (const auto& server : document.value("backend_servers", nlohmann::json::array())) {
             status.backendServers.push_back({ .name = server.value("name", ""), .pool = server.value("pool", ""), .failureDomain = server.value("failure_domain", ""), .state = server.value("state", ""), .openRequests = server.value("open_requests", 0U) });
         }
+        for (const auto& duty : document.value("duties", nlohmann::json::array())) {
+            status.duties.push_back(dutyOf(duty));
+        }
         return status;
     }
 
--- a/packages/ctl/src/PresentJson.cpp
+++ b/packages/ctl/src/PresentJson.cpp
@@ -49,6 +49,20 @@
         };
     }
 
+    Json asJson(const OrderedEngineStatus& engine)
+    {
+        return { { "backend_server", engine.backendServer }, { "wanted", engine.wanted }, { "loaded", engine.loaded }, { "held_back", engine.heldBack } };
+    }
+
+    Json asJson(const DutyStatus& duty)
+    {
+        Json engines = Json::array();
+        for (const OrderedEngineStatus& engine : duty.engines) {
+            engines.push_back(asJson(engine));
+        }
+        return { { "duty", duty.duty }, { "holder", duty.holder }, { "fencing_number", duty.fencingNumber }, { "engines", engines } };
+    }
+
     Json asJson(const BackendServerStatus& server)
     {
         return {
@@ -107,6 +121,7 @@
         { "live_hosts", spread.liveHosts },
         { "entry_hosts", asList(status.entryHosts) },
         { "backend_servers", asList(status.backendServers) },
+        { "duties", asList(status.duties) },
     });
 }
 
--- a/packages/ctl/src/PresentText.cpp
+++ b/packages/ctl/src/PresentText.cpp
@@ -96,6 +96,13 @@
     for (const BackendServerStatus& server : status.backendServers) {
         text += fmt::format("{:<20} {:<16} {:<10} {:>6}  {}\n", server.name, server.failureDomain, server.state, server.openRequests, server.pool);
     }
+    text += fmt::format("\n{:<36} {:<20} {:>8}\n", "duty", "held by", "fencing");
+    for (const DutyStatus& duty : status.duties) {
+        text += fmt::format("{:<36} {:<20} {:>8}\n", duty.duty, duty.holder, duty.fencingNumber);
+        for (const OrderedEngineStatus& engine : duty.engines) {
+            text += fmt::format("  {:<18} has {}; wanted {}{}\n", engine.backendServer, engine.loaded.empty() ? "not read yet" : engine.loaded, engine.wanted, engine.heldBack ? "; out of routing" : "");
+        }
+    }
     return text;
 }
 
--- a/packages/daemon/include/siskinspread/BackendStatusAdapter.h
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -8,6 +8,7 @@
 #include "siskinspread/ServicePools.h"
 #include "siskinspread/Timers.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -58,6 +59,9 @@
     /** @return "joining", "live", "unreachable", "leaving" or "gone". */
     std::string_view stateName(const std::string& server) const;
 
+    /** Tells of servers that are to get no new work for a while; empty: none. */
+    std::function<bool(const std::string& server)> isHeldBack;
+
 private:
     void tick();
     void updateObservers();
--- a/packages/daemon/include/siskinspread/OperatorRoutes.h
+++ b/packages/daemon/include/siskinspread/OperatorRoutes.h
@@ -2,6 +2,7 @@
 
 #include "siskinspread/AccountLookups.h"
 #include "siskinspread/BackendStatusAdapter.h"
+#include "siskinspread/DutyView.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/ServicePools.h"
@@ -24,6 +25,7 @@
         AccountLookups& accounts;
         std::function<std::vector<IncarnationId>(const IdempotencyKey&)> ownersOfKey; /**< Newest first. */
         const SystemView& system;
+        const DutyView& duties;
         const BackendStatusAdapter& backendServers;
     };
 
@@ -35,7 +37,7 @@
 private:
     void handleAccount(const IncomingRequest&);
     void lookUp(const IncomingRequest&, const AccountQuery&, std::vector<IncarnationId> candidates);
-    std::string statusJson(const std::vector<EntryHostView>&) const;
+    std::string statusJson(const std::vector<EntryHostView>&, const std::vector<HeldDuty>&) const;
     void send(ExchangeId, int status, const char* contentType, std::string body);
 
     HostContext& m_context;
--- a/packages/daemon/src/BackendStatusAdapter.cpp
+++ b/packages/daemon/src/BackendStatusAdapter.cpp
@@ -299,6 +299,7 @@
         pool->view.entryHosts = entryHostCount();
         for (BackendServerView& view : pool->view.servers) {
             show(view);
+            view.reachable = view.reachable && !(isHeldBack && isHeldBack(view.description.name));
         }
     }
 }
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -9,6 +9,10 @@
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
 #include "siskinspread/DrainRoute.h"
+#include "siskinspread/DutyLeaseAdapter.h"
+#include "siskinspread/DutyRank.h"
+#include "siskinspread/DutyView.h"
+#include "siskinspread/EngineOrdersAdapter.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/KeyedRequests.h"
 #include "siskinspread/LogCloser.h"
@@ -26,6 +30,7 @@
 #include "siskinspread/RequestRegister.h"
 #include "siskinspread/RequestSize.h"
 #include "siskinspread/ServerChannel.h"
+#include "siskinspread/ServerHolds.h"
 #include "siskinspread/ServicePools.h"
 #include "siskinspread/SliceKeeper.h"
 #include "siskinspread/StreamAttach.h"
@@ -44,6 +49,8 @@
     // Time for the last answers to leave and the log to close after the last request has ended.
     constexpr std::chrono::milliseconds closingTime { 5000 };
     constexpr std::chrono::milliseconds lastWriteTime { 200 };
+    // Live hosts of a failure domain that stand for its duties.
+    constexpr uint32_t dutyCandidates = 3;
 
 } // namespace
 
@@ -77,7 +84,11 @@
         m_configuration.start();
         m_membership.start();
         m_notices.start();
+        m_backendStatus.isHeldBack = [this](const std::string& server) { return m_holds.isHeldBack(server); };
         m_backendStatus.start();
+        m_holds.start();
+        m_engineLease.start();
+        m_engineOrders.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
         while (!isFinished()) {
@@ -179,6 +190,7 @@
     {
         m_pools.apply(configuration);
         m_backendStatus.configured(configuration);
+        m_engineOrders.configured(configuration);
     }
 
     void advanceStop()
@@ -192,6 +204,7 @@
         if (!m_routes.isDraining()) {
             m_routes.beginDraining();
             m_slices.release();
+            m_engineLease.release();
         }
         if (!m_closingBegan && m_stop.isGraceOver()) {
             m_handovers.begin(m_stop.handoverTime());
@@ -224,6 +237,22 @@
         return hosts;
     }
 
+    std::optional<uint32_t> dutyRankOf(const std::string& duty) const
+    {
+        return dutyRank(duty, m_settings.host().name(), domainHosts(), dutyCandidates);
+    }
+
+    std::vector<std::string> otherLiveHosts() const
+    {
+        std::vector<std::string> hosts;
+        for (const KnownIncarnation& known : m_membership.liveIncarnations()) {
+            if (known.host != m_settings.host().name()) {
+                hosts.push_back(known.host);
+            }
+        }
+        return hosts;
+    }
+
     // Another host has closed the log: this incarnation can record nothing any more and makes way for a new one.
     void onLogEnded(bool planned)
     {
@@ -320,8 +349,13 @@
     ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { enforce(configuration); } };
     MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
     BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_heartbeats, .pools = m_pools, .membership = m_membership } };
+    ServerHolds m_holds { m_context, { .timers = m_timers, .calls = m_peerCalls, .otherHosts = [this] { return otherLiveHosts(); } } };
+    const std::string m_engineDuty { "engine-orders/" + m_settings.host().failure_domain() };
+    DutyLeaseAdapter m_engineLease { m_context, { .timers = m_timers, .clock = std::chrono::steady_clock::now, .rank = [this] { return dutyRankOf(m_engineDuty); } }, m_store, m_engineDuty };
+    EngineOrdersAdapter m_engineOrders { m_context, { .timers = m_timers, .clock = std::chrono::steady_clock::now, .engines = m_backendServers, .lease = m_engineLease, .holds = m_holds }, m_store };
+    DutyView m_duties { m_context, { .calls = m_peerCalls, .lease = m_engineLease, .orders = m_engineOrders, .otherHosts = [this] { return otherLiveHosts(); } } };
     SystemView m_system { m_context, m_membership, m_configuration };
-    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system, .backendServers = m_backendStatus } };
+    OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system, .duties = m_duties, .backendServers = m_backendStatus } };
     PlannedStop m_stop { m_context, [this] { return openRequests(); } };
     DrainRoute m_drain { m_context, m_stop };
     NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [this](const std::string& host, MonotonicTime) { m_backendStatus.leaveSign(host); } },
--- a/packages/daemon/src/OperatorRoutes.cpp
+++ b/packages/daemon/src/OperatorRoutes.cpp
@@ -27,7 +27,9 @@
     const Target target = splitTarget(request.target);
     if (target.path == "/operator/status") {
         m_parts.system.collect([this, exchange = request.exchange](const std::vector<EntryHostView>& hosts) {
-            send(exchange, statusOk, jsonContentType, statusJson(hosts));
+            m_parts.duties.collect([this, exchange, hosts](const std::vector<HeldDuty>& duties) {
+                send(exchange, statusOk, jsonContentType, statusJson(hosts, duties));
+            });
         });
         return true;
     }
@@ -74,7 +76,7 @@
     });
 }
 
-std::string OperatorRoutes::statusJson(const std::vector<EntryHostView>& entryHosts) const
+std::string OperatorRoutes::statusJson(const std::vector<EntryHostView>& entryHosts, const std::vector<HeldDuty>& duties) const
 {
     nlohmann::json servers = nlohmann::json::array();
     for (const auto& [name, pool] : m_parts.pools.services()) {
@@ -98,6 +100,7 @@
         { "configuration_revision", m_parts.pools.revision() },
         { "entry_hosts", hosts },
         { "backend_servers", servers },
+        { "duties", dutiesJson(duties) },
     };
     return status.dump();
 }
--- a/packages/decisions/include/siskinspread/DutyLease.h
+++ b/packages/decisions/include/siskinspread/DutyLease.h
@@ -13,7 +13,7 @@
 
 /** The lease object in the platform's object API. An absent object has version zero. */
 struct LeaseRecord {
-    std::string holder; /**< Text of the holder's incarnation id. */
+    std::string holder; /**< Text of the holder's incarnation id; empty once it has released the lease. */
     uint64_t fencingNumber { 0 }; /**< Grows with each new holder and with each reacquisition after a lapse. */
     std::string writeId; /**< Identifies the write when its answer is lost. */
     bool operator==(const LeaseRecord&) const = default;
@@ -40,8 +40,10 @@
 struct LeaseCandidacy {
     std::optional<uint32_t> rank; /**< Counted from zero; empty: does not stand. */
 };
+/** This process stops: the lease ends here at once and another host may take it without waiting for its lapse. */
+struct LeaseRelease { };
 
-using LeaseEvent = std::variant<LeaseRead, LeaseReadFailed, LeaseWritten, LeaseWriteRefused, LeaseWriteUnanswered, LeaseTick, LeaseCandidacy>;
+using LeaseEvent = std::variant<LeaseRead, LeaseReadFailed, LeaseWritten, LeaseWriteRefused, LeaseWriteUnanswered, LeaseTick, LeaseCandidacy, LeaseRelease>;
 
 struct ReadLease { };
 struct WriteLease {
@@ -81,6 +83,7 @@
     MonotonicTime unsettledAskedAt;
     MonotonicTime nextCallAt;
     std::chrono::milliseconds retryDelay { 0 };
+    bool released { false }; /**< Nothing is taken any more. */
 
     bool held { false };
     uint64_t fencingNumber { 0 };
--- a/packages/decisions/include/siskinspread/EngineOrders.h
+++ b/packages/decisions/include/siskinspread/EngineOrders.h
@@ -19,18 +19,41 @@
     Decode,
 };
 
-/** What an engine should have loaded, or has. Empty strings: nothing. */
-struct EngineTarget {
-    std::string model;
+/** A model or an adapter that an engine has loaded, or is to load. */
+struct EngineItem {
+    std::string name;
     std::string version;
-    std::string adapter;
+    auto operator<=>(const EngineItem&) const = default;
+};
+
+/** What an engine should have loaded, or has. Each list is sorted and names an item once. */
+struct EngineTarget {
+    std::vector<EngineItem> models;
+    std::vector<EngineItem> adapters;
     EngineRole role { EngineRole::Mixed };
     bool operator==(const EngineTarget&) const = default;
 };
 
+enum class EngineStepKind : uint8_t {
+    UnloadAdapter,
+    UnloadModel,
+    SetRole,
+    LoadModel,
+    LoadAdapter,
+};
+
+/** One order as engines take it. Repeating it changes nothing. */
+struct EngineStep {
+    EngineStepKind kind { EngineStepKind::SetRole };
+    EngineItem item; /**< Of the other kinds. */
+    EngineRole role { EngineRole::Mixed }; /**< Of SetRole. */
+    bool operator==(const EngineStep&) const = default;
+};
+
 /** The wanted state of one engine; replaces the earlier one. */
 struct EngineWanted {
     std::string server;
+    std::string pool;
     EngineTarget target;
     bool checksFencingNumbers { false };
 };
@@ -56,10 +79,14 @@
 struct EngineFencingRefused {
     std::string server;
 };
+/** The entry hosts have been told to send no new work to the server; answer to HoldBackServer. */
+struct EngineHeldBack {
+    std::string server;
+};
 /** Time passed; to be sent every second or so. */
 struct EngineOrdersTick { };
 
-using EngineOrdersEvent = std::variant<EngineWanted, EngineForgotten, EngineRead, EngineCallFailed, EngineOrderAccepted, EngineFencingRefused, EngineOrdersTick>;
+using EngineOrdersEvent = std::variant<EngineWanted, EngineForgotten, EngineRead, EngineCallFailed, EngineOrderAccepted, EngineFencingRefused, EngineHeldBack, EngineOrdersTick>;
 
 struct ReadEngine {
     std::string server;
@@ -70,6 +97,7 @@
  */
 struct OrderEngine {
     std::string server;
+    EngineTarget loaded; /**< As read directly before. */
     EngineTarget target;
     uint64_t fencingNumber { 0 };
 };
@@ -78,7 +106,15 @@
     std::string server;
 };
 
-using EngineOrdersAction = std::variant<ReadEngine, OrderEngine, EngineOrdersFenced>;
+/** Let no entry host send new work to the server, until ReleaseServer or the end of the lease. */
+struct HoldBackServer {
+    std::string server;
+};
+struct ReleaseServer {
+    std::string server;
+};
+
+using EngineOrdersAction = std::variant<ReadEngine, OrderEngine, EngineOrdersFenced, HoldBackServer, ReleaseServer>;
 
 struct EngineOrdersOptions {
     std::chrono::milliseconds readInterval { 30'000 }; /**< Between reads of an engine that is as wanted. */
@@ -87,15 +123,28 @@
     std::chrono::milliseconds loadTimeout { 600'000 }; /**< After this an order that shows no effect is repeated. */
     std::chrono::milliseconds takeoverDelay { 15'000 }; /**< Before a new holder orders engines that ignore fencing numbers. */
     uint32_t maxLoadsInFlight { 4 }; /**< Bounds the load on the weight store. */
+    uint32_t maxHeldBackPerPool { 1 }; /**< Servers of one pool that are out of routing at once for a change. */
+    std::chrono::milliseconds quietTime { 5'000 }; /**< From holding a server back until its reported streams are believed: they lag. */
+};
+
+/** Whether a server is out of routing for a change. */
+enum class ServerHold : uint8_t {
+    None,
+    Asked, /**< Not all entry hosts have been told yet. */
+    HeldBack,
 };
 
 struct EngineOrderState {
+    std::string pool;
     EngineTarget target;
+    std::optional<EngineTarget> loaded; /**< At the last read. */
     bool checksFencingNumbers { false };
     bool callOpen { false };
     MonotonicTime nextReadAt;
     std::chrono::milliseconds retryDelay { 0 };
     std::optional<MonotonicTime> orderedAt; /**< Set while an order waits for its effect. */
+    ServerHold hold { ServerHold::None };
+    MonotonicTime heldBackSince;
 };
 
 /** State of the holder of the duty; started afresh with each fencing number. */
@@ -108,9 +157,12 @@
 /** @return whether going from `loaded` to `target` takes something away that a running stream may use. Thread safety: reentrant. */
 bool isDestructive(const EngineTarget& loaded, const EngineTarget& target);
 
+/** @return the orders that take an engine from `loaded` to `target`, those that free memory first. Thread safety: reentrant. */
+std::vector<EngineStep> stepsBetween(const EngineTarget& loaded, const EngineTarget& target);
+
 /**
  * Brings engines to their wanted states: read, compare, order, read back. An order follows only directly on a read; a
- * destructive one only when that read showed no open streams.
+ * destructive one only when the server was out of routing and that read showed no open streams.
  *
  * @param heldFencing the result of heldFencingNumber at `now`. Without it nothing is read or ordered.
  * Thread safety: safe while no other thread uses `state`.
--- a/packages/decisions/src/DutyLease.cpp
+++ b/packages/decisions/src/DutyLease.cpp
@@ -17,7 +17,11 @@
 
         bool isValid() const { return state.held && now < state.validUntil; }
 
-        MonotonicTime mayTakeAt() const { return state.unchangedSince + options.duration + options.rankDelay * state.rank.value_or(0); }
+        MonotonicTime mayTakeAt() const
+        {
+            const bool isFree = state.seen->record.holder.empty();
+            return state.unchangedSince + (isFree ? std::chrono::milliseconds { 0 } : options.duration) + options.rankDelay * state.rank.value_or(0);
+        }
 
         void scheduleNext() const
         {
@@ -54,6 +58,9 @@
         {
             const MonotonicTime start = countedFrom == LeaseCountedFrom::Ask ? state.unsettledAskedAt : now;
             state.unsettledWrite.reset();
+            if (state.released) {
+                return;
+            }
             const MonotonicTime validUntil = start + options.duration - options.margin;
             const bool afterLapse = !state.held && record.fencingNumber <= state.fencingNumber;
             if (now >= validUntil || afterLapse) {
@@ -77,6 +84,16 @@
             return now >= mayTakeAt();
         }
 
+        void writeRelease() const
+        {
+            if (state.callOpen || !state.seen || !isOwnRecord()) {
+                return;
+            }
+            state.callOpen = true;
+            state.unsettledWrite = LeaseRecord { .holder = {}, .fencingNumber = state.seen->record.fencingNumber, .writeId = state.self + "/" + std::to_string(++state.writeCount) };
+            actions.emplace_back(WriteLease { .record = *state.unsettledWrite, .ifObjectVersion = state.seen->objectVersion });
+        }
+
         void write() const
         {
             const uint64_t fencing = isValid() ? state.fencingNumber : state.seen->record.fencingNumber + 1;
@@ -102,6 +119,10 @@
             } else if (answer.record.holder != state.self || (state.held && answer.record.fencingNumber != state.fencingNumber)) {
                 endLease();
             }
+            if (state.released) {
+                writeRelease();
+                return;
+            }
             if (mayTake() && !isValid() && state.rank) {
                 write();
                 return;
@@ -121,6 +142,10 @@
             const LeaseRecord record = *state.unsettledWrite;
             observe({ .record = record, .objectVersion = answer.objectVersion });
             confirm(record);
+            if (state.released) {
+                writeRelease();
+                return;
+            }
             if (!isValid() && state.rank) {
                 write();
                 return;
@@ -142,7 +167,17 @@
 
         void operator()(const LeaseCandidacy& candidacy) const
         {
-            state.rank = candidacy.rank;
+            if (!state.released) {
+                state.rank = candidacy.rank;
+            }
+        }
+
+        void operator()(const LeaseRelease&) const
+        {
+            state.rank.reset();
+            state.released = true;
+            endLease();
+            writeRelease();
         }
 
         void operator()(const LeaseTick&) const
--- a/packages/decisions/src/EngineOrders.cpp
+++ b/packages/decisions/src/EngineOrders.cpp
@@ -23,7 +23,7 @@
             return std::count_if(state.engines.begin(), state.engines.end(), [](const auto& entry) { return entry.second.orderedAt.has_value(); });
         }
 
-        bool mayOrder(const EngineOrderState& engine, const EngineRead& read) const
+        bool mayOrder(const EngineOrderState& engine) const
         {
             if (engine.orderedAt && now < *engine.orderedAt + options.loadTimeout) {
                 return false; // carried out at this moment
@@ -31,12 +31,33 @@
             if (!engine.checksFencingNumbers && now < state.leaseGainedAt + options.takeoverDelay) {
                 return false; // an order of the former holder may still be on its way
             }
-            if (isDestructive(read.loaded, engine.target) && read.openStreams) {
-                return false;
-            }
             return engine.orderedAt || loadsInFlight() < options.maxLoadsInFlight;
         }
 
+        size_t heldBackOf(const std::string& pool) const
+        {
+            return std::count_if(state.engines.begin(), state.engines.end(),
+                [&pool](const auto& entry) { return entry.second.pool == pool && entry.second.hold != ServerHold::None; });
+        }
+
+        /** Takes the server out of routing. @return whether nothing runs there any more. */
+        bool becomesQuiet(EngineOrderState& engine, const EngineRead& read) const
+        {
+            if (engine.hold == ServerHold::None && heldBackOf(engine.pool) < options.maxHeldBackPerPool) {
+                engine.hold = ServerHold::Asked;
+                actions.emplace_back(HoldBackServer { .server = read.server });
+            }
+            return engine.hold == ServerHold::HeldBack && now >= engine.heldBackSince + options.quietTime && !read.openStreams;
+        }
+
+        void release(const std::string& server, EngineOrderState& engine) const
+        {
+            if (engine.hold != ServerHold::None) {
+                engine.hold = ServerHold::None;
+                actions.emplace_back(ReleaseServer { .server = server });
+            }
+        }
+
         void operator()(const EngineWanted& wanted) const
         {
             EngineOrderState& engine = state.engines[wanted.server];
@@ -44,11 +65,18 @@
                 engine.orderedAt.reset();
                 engine.nextReadAt = now;
             }
+            engine.pool = wanted.pool;
             engine.target = wanted.target;
             engine.checksFencingNumbers = wanted.checksFencingNumbers;
         }
 
-        void operator()(const EngineForgotten& forgotten) const { state.engines.erase(forgotten.server); }
+        void operator()(const EngineForgotten& forgotten) const
+        {
+            if (EngineOrderState* engine = find(forgotten.server)) {
+                release(forgotten.server, *engine);
+                state.engines.erase(forgotten.server);
+            }
+        }
 
         void operator()(const EngineRead& read) const
         {
@@ -58,18 +86,23 @@
             }
             engine->callOpen = false;
             engine->retryDelay = std::chrono::milliseconds { 0 };
+            engine->loaded = read.loaded;
             if (read.loaded == engine->target) {
+                release(read.server, *engine);
                 engine->orderedAt.reset();
                 engine->nextReadAt = now + options.readInterval;
                 return;
             }
             engine->nextReadAt = now + options.settleInterval;
-            if (!state.fencingNumber || !mayOrder(*engine, read)) {
+            if (!state.fencingNumber || !mayOrder(*engine)) {
+                return;
+            }
+            if (isDestructive(read.loaded, engine->target) && !becomesQuiet(*engine, read)) {
                 return;
             }
             engine->callOpen = true;
             engine->orderedAt = now;
-            actions.emplace_back(OrderEngine { .server = read.server, .target = engine->target, .fencingNumber = *state.fencingNumber });
+            actions.emplace_back(OrderEngine { .server = read.server, .loaded = read.loaded, .target = engine->target, .fencingNumber = *state.fencingNumber });
         }
 
         void operator()(const EngineCallFailed& failed) const
@@ -79,6 +112,9 @@
                 engine->orderedAt.reset(); // read first: the order may or may not have arrived
                 engine->retryDelay = std::clamp(engine->retryDelay * 2, options.retryInterval, options.readInterval);
                 engine->nextReadAt = now + engine->retryDelay;
+                if (engine->retryDelay == options.readInterval) {
+                    release(failed.server, *engine); // it does not answer for long; others of its pool may be changed
+                }
             }
         }
 
@@ -100,6 +136,15 @@
             actions.emplace_back(EngineOrdersFenced { .server = refused.server });
         }
 
+        void operator()(const EngineHeldBack& held) const
+        {
+            EngineOrderState* engine = find(held.server);
+            if (engine && engine->hold == ServerHold::Asked) {
+                engine->hold = ServerHold::HeldBack;
+                engine->heldBackSince = now;
+            }
+        }
+
         void operator()(const EngineOrdersTick&) const
         {
             if (!state.fencingNumber) {
@@ -124,17 +169,64 @@
         for (auto& [server, engine] : state.engines) {
             engine.callOpen = false;
             engine.orderedAt.reset();
+            engine.loaded.reset();
+            engine.hold = ServerHold::None; // what was held back is told again
             engine.nextReadAt = now;
         }
     }
 
+    bool contains(const std::vector<EngineItem>& items, const EngineItem& item)
+    {
+        return std::find(items.begin(), items.end(), item) != items.end();
+    }
+
+    bool containsName(const std::vector<EngineItem>& items, const EngineItem& item)
+    {
+        return std::any_of(items.begin(), items.end(), [&item](const EngineItem& other) { return other.name == item.name; });
+    }
+
+    bool replacesAny(const std::vector<EngineItem>& loaded, const std::vector<EngineItem>& target)
+    {
+        return std::any_of(loaded.begin(), loaded.end(), [&target](const EngineItem& item) { return !contains(target, item); });
+    }
+
+    void addUnloads(std::vector<EngineStep>& steps, EngineStepKind kind, const std::vector<EngineItem>& loaded, const std::vector<EngineItem>& target)
+    {
+        for (const EngineItem& item : loaded) {
+            if (!containsName(target, item)) {
+                steps.push_back({ .kind = kind, .item = item });
+            }
+        }
+    }
+
+    void addLoads(std::vector<EngineStep>& steps, EngineStepKind kind, const std::vector<EngineItem>& loaded, const std::vector<EngineItem>& target)
+    {
+        for (const EngineItem& item : target) {
+            if (!contains(loaded, item)) {
+                steps.push_back({ .kind = kind, .item = item });
+            }
+        }
+    }
+
 } // namespace
 
 bool isDestructive(const EngineTarget& loaded, const EngineTarget& target)
 {
-    const auto replaces = [](const std::string& from, const std::string& to) { return !from.empty() && from != to; };
-    return replaces(loaded.model, target.model) || replaces(loaded.version, target.version) || replaces(loaded.adapter, target.adapter)
-        || (!loaded.model.empty() && loaded.role != target.role);
+    return replacesAny(loaded.models, target.models) || replacesAny(loaded.adapters, target.adapters)
+        || (!loaded.models.empty() && loaded.role != target.role);
+}
+
+std::vector<EngineStep> stepsBetween(const EngineTarget& loaded, const EngineTarget& target)
+{
+    std::vector<EngineStep> steps;
+    addUnloads(steps, EngineStepKind::UnloadAdapter, loaded.adapters, target.adapters);
+    addUnloads(steps, EngineStepKind::UnloadModel, loaded.models, target.models);
+    if (loaded.role != target.role) {
+        steps.push_back({ .kind = EngineStepKind::SetRole, .item = {}, .role = target.role });
+    }
+    addLoads(steps, EngineStepKind::LoadModel, loaded.models, target.models);
+    addLoads(steps, EngineStepKind::LoadAdapter, loaded.adapters, target.adapters);
+    return steps;
 }
 
 void step(EngineOrdersState& state, const EngineOrdersOptions& options, const EngineOrdersEvent& event, std::optional<uint64_t> heldFencing,
--- a/packages/decisions/tests/DutyLeaseTest.cpp
+++ b/packages/decisions/tests/DutyLeaseTest.cpp
@@ -46,6 +46,8 @@
                 applyDelayed();
             } else if (operation == 2) {
                 handle(host);
+            } else if (!host.paused && operation == 5 && choice >> 13 == 0) {
+                dispatch(host, LeaseRelease {});
             } else if (!host.paused) {
                 act(host, operation);
             }
@@ -53,6 +55,7 @@
 
         void runWithoutFaults(int rounds)
         {
+            restartReleased();
             for (int i = 0; i < rounds; ++i) {
                 m_elapsed += 500ms;
                 for (Host& host : m_hosts) {
@@ -75,6 +78,20 @@
         size_t callCount() const { return m_callCount; }
 
     private:
+        /** A host that has released the lease stops; another process takes its place. */
+        void restartReleased()
+        {
+            for (Host& host : m_hosts) {
+                if (host.state.released) {
+                    abandon(host);
+                    LeaseState state;
+                    state.self = host.state.self + "+";
+                    state.rank = static_cast<uint32_t>(&host - m_hosts.data());
+                    host.state = state;
+                }
+            }
+        }
+
         void act(Host& host, size_t operation)
         {
             if (operation == 3) {
@@ -259,4 +276,25 @@
     CHECK(std::get<WriteLease>(actions.back()).record.fencingNumber == 2);
 }
 
+TEST_CASE("a lease that its holder released is taken at once, and a write on its way does not bring it back")
+{
+    const MonotonicTime begin { 1h };
+    LeaseState holder;
+    holder.self = "a";
+    holder.rank = 0;
+    LeaseState other = holder;
+    other.self = "b";
+    std::vector<LeaseAction> actions;
+    step(holder, {}, LeaseTick {}, begin, actions);
+    step(holder, {}, LeaseRead {}, begin, actions);
+    step(holder, {}, LeaseRelease {}, begin + 1s, actions);
+    step(holder, {}, LeaseWritten { 1 }, begin + 2s, actions);
+    CHECK_FALSE(heldFencingNumber(holder, begin + 2s));
+    const LeaseRecord released = std::get<WriteLease>(actions.back()).record;
+    CHECK(released.holder.empty());
+    step(other, {}, LeaseTick {}, begin + 3s, actions);
+    step(other, {}, LeaseRead { .record = released, .objectVersion = 2 }, begin + 3s, actions);
+    CHECK(std::get<WriteLease>(actions.back()).record.fencingNumber == released.fencingNumber + 1);
+}
+
 } // namespace siskinspread
--- a/packages/decisions/tests/EngineOrdersTest.cpp
+++ b/packages/decisions/tests/EngineOrdersTest.cpp
@@ -9,8 +9,8 @@
 
     using namespace std::chrono_literals;
 
-    const EngineTarget modelA { .model = "a", .version = "1", .adapter = "" };
-    const EngineTarget modelB { .model = "b", .version = "1", .adapter = "" };
+    const EngineTarget modelA { .models = { { .name = "a", .version = "1" } }, .adapters = {} };
+    const EngineTarget modelB { .models = { { .name = "b", .version = "1" } }, .adapters = {} };
 
     struct Fixture {
         EngineOrdersState state;
@@ -30,7 +30,8 @@
             now += 20s;
             send(EngineOrdersTick {});
             const auto actions = send(EngineRead { .server = "s", .loaded = loaded, .openStreams = openStreams });
-            return actions.empty() ? std::nullopt : std::optional { std::get<OrderEngine>(actions.front()) };
+            const auto* order = actions.empty() ? nullptr : std::get_if<OrderEngine>(&actions.front());
+            return order ? std::optional { *order } : std::nullopt;
         }
     };
 
@@ -39,7 +40,7 @@
 TEST_CASE("an order follows a read, names the whole target and is read back")
 {
     Fixture f;
-    f.send(EngineWanted { .server = "s", .target = modelA, .checksFencingNumbers = true });
+    f.send(EngineWanted { .server = "s", .pool = "p", .target = modelA, .checksFencingNumbers = true });
     const auto order = f.orderAfter({}, 0);
     REQUIRE(order);
     CHECK(order->target == modelA);
@@ -54,7 +55,7 @@
 TEST_CASE("a lost answer is followed by a read before the order is repeated")
 {
     Fixture f;
-    f.send(EngineWanted { .server = "s", .target = modelA, .checksFencingNumbers = true });
+    f.send(EngineWanted { .server = "s", .pool = "p", .target = modelA, .checksFencingNumbers = true });
     REQUIRE(f.orderAfter({}, 0));
     CHECK(f.send(EngineCallFailed { "s" }).empty());
     CHECK_FALSE(f.orderAfter(modelA, 0));
@@ -64,16 +65,54 @@
 {
     for (const bool checks : { false, true }) {
         Fixture f;
-        f.send(EngineWanted { .server = "s", .target = modelB, .checksFencingNumbers = checks });
+        f.send(EngineWanted { .server = "s", .pool = "p", .target = modelB, .checksFencingNumbers = checks });
+        CHECK_FALSE(f.orderAfter(modelA, 0)); // in routing
+        f.send(EngineHeldBack { "s" });
         CHECK_FALSE(f.orderAfter(modelA, 1));
         CHECK(f.orderAfter(modelA, 0));
     }
 }
 
+TEST_CASE("a destructive order takes its server out of routing first, one of a pool at once, and back when it is done")
+{
+    Fixture f;
+    for (const char* server : { "s", "t" }) {
+        f.send(EngineWanted { .server = server, .pool = "p", .target = modelB, .checksFencingNumbers = true });
+    }
+    f.send(EngineOrdersTick {});
+    CHECK(std::get<HoldBackServer>(f.send(EngineRead { .server = "s", .loaded = modelA, .openStreams = 0 }).front()).server == "s");
+    CHECK(f.send(EngineRead { .server = "t", .loaded = modelA, .openStreams = 0 }).empty());
+    f.send(EngineHeldBack { "s" });
+    f.now += 2s;
+    f.send(EngineOrdersTick {});
+    CHECK(f.send(EngineRead { .server = "s", .loaded = modelA, .openStreams = 0 }).empty()); // the load may be an old one
+    REQUIRE(f.orderAfter(modelA, 0));
+    f.send(EngineOrderAccepted { "s" });
+    f.now += 2s;
+    f.send(EngineOrdersTick {});
+    CHECK(std::get<ReleaseServer>(f.send(EngineRead { .server = "s", .loaded = modelB, .openStreams = 0 }).front()).server == "s");
+    CHECK(std::get<HoldBackServer>(f.send(EngineRead { .server = "t", .loaded = modelA, .openStreams = 0 }).front()).server == "t");
+}
+
+TEST_CASE("an order is taken apart into what an engine takes, unloading first")
+{
+    const EngineTarget loaded { .models = { { .name = "a", .version = "1" }, { .name = "b", .version = "1" } }, .adapters = { { .name = "x", .version = "1" } } };
+    const EngineTarget target { .models = { { .name = "a", .version = "2" } }, .adapters = { { .name = "y", .version = "1" } }, .role = EngineRole::Decode };
+    const std::vector<EngineStep> steps {
+        { .kind = EngineStepKind::UnloadAdapter, .item = { .name = "x", .version = "1" } },
+        { .kind = EngineStepKind::UnloadModel, .item = { .name = "b", .version = "1" } },
+        { .kind = EngineStepKind::SetRole, .item = {}, .role = EngineRole::Decode },
+        { .kind = EngineStepKind::LoadModel, .item = { .name = "a", .version = "2" } },
+        { .kind = EngineStepKind::LoadAdapter, .item = { .name = "y", .version = "1" } },
+    };
+    CHECK(stepsBetween(loaded, target) == steps);
+    CHECK(stepsBetween(target, target).empty());
+}
+
 TEST_CASE("a new holder waits before it orders engines that ignore fencing numbers")
 {
     Fixture f;
-    f.send(EngineWanted { .server = "s", .target = modelA, .checksFencingNumbers = false });
+    f.send(EngineWanted { .server = "s", .pool = "p", .target = modelA, .checksFencingNumbers = false });
     f.send(EngineOrdersTick {});
     CHECK(f.send(EngineRead { .server = "s", .loaded = {}, .openStreams = 0 }).empty());
     CHECK(f.orderAfter({}, 0));
@@ -82,7 +121,7 @@
 TEST_CASE("without the lease nothing is read or ordered, and a refused number is reported")
 {
     Fixture f;
-    f.send(EngineWanted { .server = "s", .target = modelA, .checksFencingNumbers = true });
+    f.send(EngineWanted { .server = "s", .pool = "p", .target = modelA, .checksFencingNumbers = true });
     f.send(EngineOrdersTick {});
     f.fencing.reset();
     CHECK(f.send(EngineRead { .server = "s", .loaded = {}, .openStreams = 0 }).empty());
@@ -96,7 +135,7 @@
 {
     Fixture f;
     for (int i = 0; i < 10; ++i) {
-        f.send(EngineWanted { .server = std::to_string(i), .target = modelA, .checksFencingNumbers = true });
+        f.send(EngineWanted { .server = std::to_string(i), .pool = "p", .target = modelA, .checksFencingNumbers = true });
     }
     f.send(EngineOrdersTick {});
     size_t orders = 0;
@@ -115,12 +154,18 @@
         std::vector<EngineOrdersAction> open;
         const auto push = [&](const EngineOrdersEvent& event) {
             for (EngineOrdersAction& action : f.send(event)) {
-                open.push_back(std::move(action));
+                if (!std::holds_alternative<ReleaseServer>(action)) {
+                    open.push_back(std::move(action));
+                }
             }
         };
         const auto carryOut = [&](bool answered) {
             const EngineOrdersAction action = open.back();
             open.pop_back();
+            if (std::holds_alternative<HoldBackServer>(action)) {
+                push(EngineHeldBack { "s" });
+                return;
+            }
             if (const auto* order = std::get_if<OrderEngine>(&action)) {
                 RC_ASSERT(!streams || !isDestructive(loaded, order->target));
                 loaded = order->target;
@@ -133,13 +178,13 @@
                 push(EngineRead { .server = "s", .loaded = loaded, .openStreams = streams });
             }
         };
-        push(EngineWanted { .server = "s", .target = modelA, .checksFencingNumbers = false });
+        push(EngineWanted { .server = "s", .pool = "p", .target = modelA, .checksFencingNumbers = false });
         for (const uint8_t choice : arbitraryScript<uint8_t>(40)) {
             f.now += 1s * (choice / 8);
             if (choice % 8 < 4) {
                 push(EngineOrdersTick {});
             } else if (choice % 8 == 4) {
-                push(EngineWanted { .server = "s", .target = choice & 64 ? modelA : modelB, .checksFencingNumbers = false });
+                push(EngineWanted { .server = "s", .pool = "p", .target = choice & 64 ? modelA : modelB, .checksFencingNumbers = false });
             } else if (choice % 8 == 5 && open.empty()) {
                 streams = choice / 128; // between a read and its order a stream may start: see docs/design/leases.md
             } else if (!open.empty()) {
--- a/packages/observability/include/siskinspread/Metrics.h
+++ b/packages/observability/include/siskinspread/Metrics.h
@@ -54,6 +54,15 @@
     Malformed, /**< Something answered, but not with a load report; counts as unreached. */
 };
 
+/** How an order to an engine ended. */
+enum class EngineOrderOutcome : uint8_t {
+    Accepted,
+    FencingRefused, /**< The engine has seen a higher fencing number. */
+    Failed, /**< Answered with an error, or never sent. */
+    Unanswered, /**< May have taken effect. */
+    LeaseLost, /**< Not sent: the lease was no longer held. */
+};
+
 /** Which way news of backend servers went. */
 enum class NewsDirection : uint8_t {
     Sent,
@@ -110,6 +119,18 @@
     /** Counts a datagram with news of backend servers and its bytes. Thread safety: any thread. */
     void countBackendNews(NewsDirection direction, size_t bytes);
 
+    /** Counts an order to an engine. Thread safety: any thread. */
+    void countEngineOrder(EngineOrderOutcome outcome);
+
+    /** Counts a read of what an engine has loaded. Thread safety: any thread. */
+    void countEngineRead(ProbeOutcome outcome);
+
+    /** Counts a server that this host took out of routing for a change, by whether all live hosts had confirmed. Thread safety: any thread. */
+    void countServerHold(bool confirmed);
+
+    /** Sets whether this host holds the lease for the engines of its failure domain. Thread safety: any thread. */
+    void setDutyHeld(bool held);
+
     /** Counts tokens that were passed on to a caller. Thread safety: any thread. */
     void countTokensDelivered(std::string_view service, uint64_t tokens);
 
--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -25,6 +25,10 @@
 
     constexpr std::array<std::string_view, 3> probeNames { "reached", "unreached", "malformed" };
 
+    constexpr std::array<std::string_view, 5> orderOutcomeNames { "accepted", "fencing_refused", "failed", "unanswered", "lease_lost" };
+
+    constexpr std::array<std::string_view, 2> holdNames { "unconfirmed", "confirmed" };
+
     constexpr std::array<std::string_view, 2> directionNames { "sent", "received" };
 
     constexpr std::array<std::string_view, 9> ringNames {
@@ -62,6 +66,10 @@
         , backendProbes(counters(registry, labels, "siskinspread_backend_probes_total", "Questions for a backend server's load, by outcome."))
         , backendNews(counters(registry, labels, "siskinspread_backend_news_total", "Datagrams with news of backend servers, by direction."))
         , backendNewsBytes(counters(registry, labels, "siskinspread_backend_news_bytes_total", "Bytes of datagrams with news of backend servers, by direction."))
+        , engineOrders(counters(registry, labels, "siskinspread_engine_orders_total", "Orders to engines, by outcome."))
+        , engineReads(counters(registry, labels, "siskinspread_engine_reads_total", "Reads of what engines have loaded, by outcome."))
+        , serverHolds(counters(registry, labels, "siskinspread_server_holds_total", "Servers taken out of routing for a change, by whether all hosts confirmed."))
+        , dutyHeld(gauge(registry, labels, "siskinspread_engine_duty_held", "1 while this host gives the orders of its failure domain."))
         , tokensDelivered(counters(registry, labels, "siskinspread_tokens_delivered_total", "Tokens passed on to callers, by service."))
         , tokensRecomputed(counters(registry, labels, "siskinspread_tokens_recomputed_total", "Tokens that backend servers had to compute again, by service."))
         , reclaimNotices(counters(registry, labels, "siskinspread_reclaim_notices_total", "Reclaim notices of the cloud API, by whom they are about."))
@@ -95,6 +103,10 @@
     CounterFamily& backendProbes;
     CounterFamily& backendNews;
     CounterFamily& backendNewsBytes;
+    CounterFamily& engineOrders;
+    CounterFamily& engineReads;
+    CounterFamily& serverHolds;
+    prometheus::Gauge& dutyHeld;
     CounterFamily& tokensDelivered;
     CounterFamily& tokensRecomputed;
     CounterFamily& reclaimNotices;
@@ -122,6 +134,13 @@
     }
     for (std::string_view outcome : probeNames) {
         m_series->backendProbes.Add(label("outcome", outcome));
+        m_series->engineReads.Add(label("outcome", outcome));
+    }
+    for (std::string_view outcome : orderOutcomeNames) {
+        m_series->engineOrders.Add(label("outcome", outcome));
+    }
+    for (std::string_view outcome : holdNames) {
+        m_series->serverHolds.Add(label("outcome", outcome));
     }
     for (std::string_view direction : directionNames) {
         m_series->backendNews.Add(label("direction", direction));
@@ -198,6 +217,26 @@
     m_series->reclaimNotices.Add(label("about", noticeSubjectNames.at(static_cast<size_t>(subject)))).Increment();
 }
 
+void Metrics::countEngineOrder(EngineOrderOutcome outcome)
+{
+    m_series->engineOrders.Add(label("outcome", orderOutcomeNames.at(static_cast<size_t>(outcome)))).Increment();
+}
+
+void Metrics::countEngineRead(ProbeOutcome outcome)
+{
+    m_series->engineReads.Add(label("outcome", probeNames.at(static_cast<size_t>(outcome)))).Increment();
+}
+
+void Metrics::countServerHold(bool confirmed)
+{
+    m_series->serverHolds.Add(label("outcome", holdNames.at(confirmed))).Increment();
+}
+
+void Metrics::setDutyHeld(bool held)
+{
+    m_series->dutyHeld.Set(held);
+}
+
 void Metrics::setDraining()
 {
     m_series->draining.Set(1);
--- a/packages/records/include/siskinspread/RecordCodec.h
+++ b/packages/records/include/siskinspread/RecordCodec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "siskinspread/Accounts.h"
+#include "siskinspread/DutyLease.h"
 #include "siskinspread/IncarnationLogEntries.h"
 #include "siskinspread/LastReason.h"
 #include "siskinspread/SliceMap.h"
@@ -21,6 +22,8 @@
 std::optional<SealedCopy> decodeSealedCopy(std::string_view bytes, LastReason&);
 std::string encodeSliceMap(const SliceMap&);
 std::optional<SliceMap> decodeSliceMap(std::string_view bytes, LastReason&);
+std::string encodeLeaseRecord(const LeaseRecord&);
+std::optional<LeaseRecord> decodeLeaseRecord(std::string_view bytes, LastReason&);
 std::string encodeAccountAnswer(const AccountAnswer&);
 std::optional<AccountAnswer> decodeAccountAnswer(std::string_view bytes, LastReason&);
 
@@ -33,4 +36,7 @@
 /** @return the name of the object that holds the sealed copies of an incarnation's log. */
 std::string sealedCopyName(const IncarnationId&);
 
+/** @return the name of the object that holds a duty's lease. */
+std::string leaseName(std::string_view duty);
+
 } // namespace siskinspread
--- a/packages/records/src/RecordCodec.cpp
+++ b/packages/records/src/RecordCodec.cpp
@@ -244,6 +244,29 @@
     return copy;
 }
 
+std::string encodeLeaseRecord(const LeaseRecord& record)
+{
+    schema::LeaseRecordMessage message;
+    message.set_holder(record.holder);
+    message.set_fencing_number(record.fencingNumber);
+    message.set_write_id(record.writeId);
+    return message.SerializeAsString();
+}
+
+std::optional<LeaseRecord> decodeLeaseRecord(std::string_view bytes, LastReason& reason)
+{
+    schema::LeaseRecordMessage message;
+    if (!parse(message, bytes)) {
+        return fail(reason, ResultCode::InternalError, "the object of a lease is malformed");
+    }
+    return LeaseRecord { .holder = message.holder(), .fencingNumber = message.fencing_number(), .writeId = message.write_id() };
+}
+
+std::string leaseName(std::string_view duty)
+{
+    return "leases/" + std::string { duty };
+}
+
 std::string encodeSliceMap(const SliceMap& map)
 {
     schema::SliceMapMessage message;
--- a/packages/settings/src/CheckTogether.cpp
+++ b/packages/settings/src/CheckTogether.cpp
@@ -21,6 +21,12 @@
         const schema::BackendServer* server;
     };
 
+    /** A version of a model or an adapter, and where it is wanted. */
+    struct VersionPlace {
+        std::string version;
+        Place place;
+    };
+
     std::string describePlace(const Place& place)
     {
         const uint32_t line = lineOfKey(place.document->lines, place.key);
@@ -49,6 +55,8 @@
         void customers(std::span<const ServiceDocument> documents, std::set<std::string>& names);
         void limits(std::span<const ServiceDocument> documents, const std::set<std::string>& customers);
         void pools(std::span<const ServiceDocument> documents);
+        void engineLoads(std::span<const ServiceDocument> documents);
+        void oneVersion(std::map<std::string, VersionPlace>& seen, const std::string& name, const VersionPlace& item);
         void servers(std::span<const ServiceDocument> documents);
         void sameName(const ListedServer& server, const ListedServer& earlier);
         void sameAddress(const ListedServer& server, const ListedServer& earlier);
@@ -124,6 +132,40 @@
         });
     }
 
+    void Together::oneVersion(std::map<std::string, VersionPlace>& seen, const std::string& name, const VersionPlace& item)
+    {
+        const auto [earlier, inserted] = seen.emplace(name, item);
+        if (!inserted && earlier->second.version != item.version) {
+            add(item.place, "is \"" + item.version + "\"; allowed: \"" + earlier->second.version + "\", as in " + describePlace(earlier->second.place) + ", which uses the same pool");
+        }
+    }
+
+    void Together::engineLoads(std::span<const ServiceDocument> documents)
+    {
+        std::map<std::string, std::pair<const schema::Service*, Place>> seen;
+        std::map<std::string, VersionPlace> models;
+        std::map<std::string, VersionPlace> adapters;
+        eachService(documents, [&](const schema::Service& service, const Place& place) {
+            const auto [earlier, inserted] = seen.emplace(service.pool(), std::pair { &service, place });
+            const schema::Service& other = *earlier->second.first;
+            const std::string where = describePlace(earlier->second.second);
+            if (other.has_engine_loads() != service.has_engine_loads()) {
+                add(inside(place, "engine_loads"), "is not in both this service and that of " + where + ", which uses the same pool; allowed: in all services of a pool or in none");
+                return;
+            }
+            const schema::EngineLoads& loads = service.engine_loads();
+            if (other.engine_loads().role() != loads.role()) {
+                add(inside(place, "engine_loads.role"), "differs from that of " + where + ", which uses the same pool; allowed: one role in a pool");
+            }
+            const std::string& model = loads.model().empty() ? service.name() : loads.model();
+            oneVersion(models, service.pool() + "/" + model, { .version = loads.version(), .place = inside(place, "engine_loads.version") });
+            for (int index = 0; index < loads.adapters_size(); ++index) {
+                const Place version = inside(inside(place, "engine_loads.adapters", index), "version");
+                oneVersion(adapters, service.pool() + "/" + loads.adapters(index).name(), { .version = loads.adapters(index).version(), .place = version });
+            }
+        });
+    }
+
     void Together::sameName(const ListedServer& server, const ListedServer& earlier)
     {
         if (earlier.server->address() != server.server->address()) {
@@ -183,6 +225,7 @@
         together.limits(documents, customers);
     }
     together.pools(documents);
+    together.engineLoads(documents);
     together.servers(documents);
     sortProblems(problems);
     return problems;
--- a/packages/settings/src/FieldRules.cpp
+++ b/packages/settings/src/FieldRules.cpp
@@ -141,6 +141,16 @@
         }
     }
 
+    bool hasRequiredField(const google::protobuf::Descriptor& type)
+    {
+        for (int index = 0; index < type.field_count(); ++index) {
+            if (ruleOf(*type.field(index)).required()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void fillField(Message& message, const FieldDescriptor& field)
     {
         const google::protobuf::Reflection& reflection = *message.GetReflection();
@@ -151,7 +161,10 @@
             return;
         }
         if (!field.is_repeated()) {
-            fillDefaults(*reflection.MutableMessage(&message, &field));
+            // An absent table that would have to hold something stays absent.
+            if (reflection.HasField(message, &field) || !hasRequiredField(*field.message_type())) {
+                fillDefaults(*reflection.MutableMessage(&message, &field));
+            }
             return;
         }
         for (int index = 0; index < reflection.FieldSize(message, &field); ++index) {
--- a/packages/settings/src/ServiceChecks.cpp
+++ b/packages/settings/src/ServiceChecks.cpp
@@ -72,6 +72,23 @@
         }
     }
 
+    void checkEngineLoads(const schema::Service& service, const std::string& key, ProblemCollector& problems)
+    {
+        if (!service.has_engine_loads()) {
+            return;
+        }
+        if (service.kind() == schema::PLAIN) {
+            problems.add(key + ".engine_loads", "stands in a plain service; allowed: in a service of kind \"model\" only");
+        }
+        std::set<std::string> adapters;
+        for (int index = 0; index < service.engine_loads().adapters_size(); ++index) {
+            const std::string& name = service.engine_loads().adapters(index).name();
+            if (!name.empty() && !adapters.insert(name).second) {
+                problems.add(indexKey(key + ".engine_loads.adapters", static_cast<size_t>(index)) + ".name", "\"" + name + "\" stands twice; allowed: each adapter once");
+            }
+        }
+    }
+
 } // namespace
 
 void checkService(const schema::Service& service, const std::string& key, ProblemCollector& problems)
@@ -82,6 +99,7 @@
     checkNonRepeatableCalls(service, key, problems);
     checkLimits(service, key, problems);
     checkBackendServers(service, key, problems);
+    checkEngineLoads(service, key, problems);
 }
 
 } // namespace siskinspread
--- a/packages/settings/tests/ServiceFileTest.cpp
+++ b/packages/settings/tests/ServiceFileTest.cpp
@@ -145,6 +145,35 @@
     CHECK(checkTogether(std::vector { document(goodService, "a.toml"), document(goodCustomer, "c.toml"), document(otherName, "b.toml") }).empty());
 }
 
+TEST_CASE("what engines load is checked in its service and against the services of its pool")
+{
+    const std::string model = replaced(replaced(goodService, "\"plain\"", "\"model\""), "[[services.non_repeatable_calls]]\nmethod = \"POST\"\npath_prefix = \"/holds\"\n",
+        "[services.engine_loads]\nversion = \"7\"\n[[services.engine_loads.adapters]]\nname = \"terse\"\nversion = \"1\"\n");
+    CHECK(document(model, "a.toml").content.services(0).engine_loads().role() == schema::MIXED);
+    CHECK_FALSE(document(goodService, "a.toml").content.services(0).has_engine_loads());
+    const std::vector<BadEdit> edits {
+        { "version = \"7\"", "", "f.toml:10: services[0].engine_loads.version: is missing" },
+        { "version = \"7\"", "version = \"7\"\nrole = \"serve\"", "f.toml:12: services[0].engine_loads.role: is the string \"serve\"; allowed: one of \"mixed\", \"prefill\", \"decode\"" },
+        { "kind = \"model\"", "kind = \"plain\"", "f.toml:10: services[0].engine_loads: stands in a plain service" },
+        { "name = \"terse\"", "name = \"terse\"\nversion = \"1\"\n[[services.engine_loads.adapters]]\nname = \"terse\"", "services[0].engine_loads.adapters[1].name: \"terse\" stands twice" },
+    };
+    for (const BadEdit& edit : edits) {
+        LastReason reason;
+        CHECK_FALSE_MESSAGE(parseServiceFile(replaced(model, edit.from, edit.to), "f.toml", reason), edit.problem);
+        CHECK_MESSAGE(reason.detail.find(edit.problem) != std::string::npos, (edit.problem + "\nreported: " + reason.detail));
+    }
+    const std::string other = replaced(model, "name = \"ledger\"", "name = \"stock\"");
+    const std::vector<BadEdit> contradictions {
+        { "version = \"7\"", "version = \"8\"\nmodel = \"ledger\"", "b.toml:11: services[0].engine_loads.version: is \"8\"; allowed: \"7\", as in a.toml:11" },
+        { "version = \"7\"", "version = \"7\"\nrole = \"decode\"", "b.toml:12: services[0].engine_loads.role: differs from that of a.toml:1" },
+        { "version = \"1\"", "version = \"2\"", "b.toml:14: services[0].engine_loads.adapters[0].version: is \"2\"; allowed: \"1\", as in a.toml:14" },
+    };
+    for (const BadEdit& edit : contradictions) {
+        const std::vector<ServiceDocument> documents { document(model, "a.toml"), document(goodCustomer, "c.toml"), document(replaced(other, edit.from, edit.to), "b.toml") };
+        CHECK(formatProblems(checkTogether(documents)).find(edit.problem) == 0);
+    }
+}
+
 TEST_CASE("a configuration that did not come from files is checked by the same rules")
 {
     schema::Configuration configuration;
--- a/packages/transport/include/siskinspread/HttpClient.h
+++ b/packages/transport/include/siskinspread/HttpClient.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -31,6 +32,8 @@
     bool freshConnection { false };
     /** Delivers the body in pieces as it arrives; otherwise whole with TransferEnded. */
     bool streaming { false };
+    /** When the client's thread comes to this transfer only now or later, it ends NothingSent. By the monotonic clock. */
+    std::optional<std::chrono::steady_clock::time_point> startBefore {};
     size_t maxBodyBytes { 8U << 20 }; /**< Of a body that is delivered whole; beyond it the transfer fails. */
 };
 
--- a/packages/transport/src/HttpClient.cpp
+++ b/packages/transport/src/HttpClient.cpp
@@ -90,6 +90,10 @@
 
     void begin(const StartTransfer& request)
     {
+        if (request.startBefore && std::chrono::steady_clock::now() >= *request.startBefore) {
+            emit(TransferEnded { .transfer = request.transfer, .end = TransferEnd::NothingSent, .status = 0, .headers = {}, .body = {}, .detail = "too late to be sent" });
+            return;
+        }
         auto transfer = std::make_unique<CurlTransfer>(request, [this](ClientEvent&& event) { return emit(std::move(event)); });
         curl_multi_add_handle(m_multi.get(), transfer->handle());
         m_transfers.emplace(request.transfer, std::move(transfer));
--- a/tests/standins/Engine.h
+++ b/tests/standins/Engine.h
@@ -41,6 +41,7 @@
     bool reorderChunks { false }; /**< Of each four chunks the second and third change places. */
     bool badTokenIndex { false }; /**< Chunks carry a text for the number of their token. */
     int rejectStatus { 0 }; /**< Answer to every request, which is not run; 0 for none. */
+    std::chrono::milliseconds orderDelay { 0 }; /**< From an order's arrival to its effect. */
     double slowFactor { 1 };
     std::optional<uint64_t> breakAfterTokens;
     std::optional<uint64_t> silentAfterTokens;
@@ -102,6 +103,7 @@
     void serve(const Call& call, const Responder& responder);
     void serveChat(const Call& call, const Responder& responder);
     void serveOrders(const Call& call, const Responder& responder);
+    void obey(const nlohmann::json& order, const Responder& responder);
     void serveCancel(const Call& call, const Responder& responder);
     void serveExport(const Call& call, const Responder& responder);
     void serveImport(const Call& call, const Responder& responder);
--- a/tests/standins/EngineApi.cpp
+++ b/tests/standins/EngineApi.cpp
@@ -69,15 +69,27 @@
 
 void Engine::serveOrders(const Call& call, const Responder& responder)
 {
-    if (call.method == "POST") {
-        const auto order = nlohmann::json::parse(call.body);
-        if (!obeyOrder(m_state, order)) {
-            sendJson(responder, 409, describeState(m_state));
-            return;
-        }
-        if (order.at("order") == "unload_model") {
-            unloadModel(order.at("model").get<std::string>());
-        }
+    if (call.method != "POST") {
+        sendJson(responder, 200, describeState(m_state));
+        return;
+    }
+    ++m_state.received;
+    const auto order = nlohmann::json::parse(call.body);
+    if (m_faults.orderDelay.count() > 0) {
+        m_loop.after(m_faults.orderDelay, [this, order, responder] { obey(order, responder); });
+    } else {
+        obey(order, responder);
+    }
+}
+
+void Engine::obey(const nlohmann::json& order, const Responder& responder)
+{
+    if (!obeyOrder(m_state, order, m_runs.size())) {
+        sendJson(responder, 409, describeState(m_state));
+        return;
+    }
+    if (order.at("order") == "unload_model") {
+        unloadModel(order.at("model").get<std::string>());
     }
     sendJson(responder, 200, describeState(m_state));
 }
@@ -168,6 +180,8 @@
         m_faults.badTokenIndex = value.get<bool>();
     } else if (name == "reject_status") {
         m_faults.rejectStatus = value.get<int>();
+    } else if (name == "delay_orders_ms") {
+        m_faults.orderDelay = std::chrono::milliseconds(value.get<int64_t>());
     } else if (name == "slow_factor") {
         m_faults.slowFactor = value.get<double>();
     } else if (name == "break_after_tokens") {
--- a/tests/standins/EngineOrders.cpp
+++ b/tests/standins/EngineOrders.cpp
@@ -24,16 +24,28 @@
         }
     }
 
+    /** @return whether `to` lacks something of `from`. */
+    bool takesAway(const EngineState& from, const EngineState& to)
+    {
+        const auto lacks = [](const auto& before, const auto& after) {
+            return std::any_of(before.begin(), before.end(), [&after](const auto& item) { return !after.count(item.first) || after.at(item.first) != item.second; });
+        };
+        return lacks(from.models, to.models) || lacks(from.adapters, to.adapters) || from.role != to.role;
+    }
+
 } // namespace
 
-bool obeyOrder(EngineState& state, const nlohmann::json& order)
+bool obeyOrder(EngineState& state, const nlohmann::json& order, size_t openRequests)
 {
     const auto fencing = order.at("fencing").get<uint64_t>();
+    state.stale += fencing < state.highestFencing;
     if (state.checksFencing && fencing < state.highestFencing) {
         ++state.refused;
         return false;
     }
+    const EngineState before = state;
     apply(state, order.at("order").get<std::string>(), order);
+    state.underStreams += openRequests > 0 && takesAway(before, state);
     state.highestFencing = std::max(state.highestFencing, fencing);
     ++state.obeyed;
     return true;
@@ -42,7 +54,8 @@
 nlohmann::json describeState(const EngineState& state)
 {
     return { { "fencing", state.highestFencing }, { "checks_fencing", state.checksFencing }, { "obeyed", state.obeyed },
-        { "refused", state.refused }, { "models", state.models }, { "adapters", state.adapters }, { "role", state.role } };
+        { "refused", state.refused }, { "received", state.received }, { "stale", state.stale },
+        { "under_streams", state.underStreams }, { "models", state.models }, { "adapters", state.adapters }, { "role", state.role } };
 }
 
 bool servesModel(const EngineState& state, const std::string& model)
--- a/tools/SettingsTable.cpp
+++ b/tools/SettingsTable.cpp
@@ -29,10 +29,12 @@
 constexpr const char* serviceContradictions = R"(
 Refused as contradictory in one file: `progress_timeout_ms` below `first_token_target_ms`, or not above
 `between_tokens_target_ms`; both weights zero; a call, a customer's limit, or the name or address of a backend server
-that stands twice in a service; a file without services and customers.
+that stands twice in a service; `engine_loads` in a plain service, or with an adapter that stands twice; a file without
+services and customers.
 
 Refused as contradictory between files: two descriptions of one service, of one customer or of one key; a limit for a
-customer that no file describes; two services in one pool that differ in `kind` or `checks_fencing_numbers`; one name
+customer that no file describes; two services in one pool that differ in `kind`, `checks_fencing_numbers`
+or `engine_loads.role`, of which one has `engine_loads` and one has not, or that want two versions of one model or adapter; one name
 of a backend server with two addresses; one address in two pools, or with two names, failure domains or prices.
 )";
 
