--- a/packages/daemon/src/EngineOrdersAdapter.cpp
+++ b/packages/daemon/src/EngineOrdersAdapter.cpp
@@ -16,7 +16,9 @@
     constexpr std::chrono::milliseconds confirmInterval { 1'000 };
     // Within the margin of the lease, so that an order is on its way before the lease can lapse.
     constexpr std::chrono::milliseconds connectTimeout { 500 };
-    constexpr std::chrono::milliseconds callTimeout { 5'000 };
+    constexpr std::chrono::milliseconds readTimeout { 5'000 };
+    // Some engines answer only when they have loaded.
+    constexpr std::chrono::milliseconds orderTimeout { 120'000 };
     constexpr size_t maxAnswerBytes = 65'536;
     constexpr int statusOk = 200;
     constexpr int statusConflict = 409;
@@ -189,7 +191,7 @@
     const auto address = m_addresses.find(server);
     transfer.url = "http://" + (address == m_addresses.end() ? std::string {} : address->second) + path;
     transfer.connectTimeout = connectTimeout;
-    transfer.totalTimeout = callTimeout;
+    transfer.totalTimeout = readTimeout;
     transfer.maxBodyBytes = maxAnswerBytes;
     return transfer;
 }
@@ -253,6 +255,7 @@
     }
     StartTransfer transfer = call(order->server, ordersPath);
     transfer.method = "POST";
+    transfer.totalTimeout = orderTimeout;
     transfer.headers.push_back({ .name = "Content-Type", .value = "application/json" });
     transfer.body = engineOrderBody(order->steps.front(), order->fencingNumber);
     transfer.freshConnection = true; // libcurl repeats a call by itself on a connection that it had kept
