Order again at once when another's order has taken effect instead of the own one

Change: a read that shows what is neither of the state before the order nor of the wanted one ends the wait.

--- a/packages/daemon/src/EngineOrdersAdapter.cpp
+++ b/packages/daemon/src/EngineOrdersAdapter.cpp
@@ -205,8 +205,8 @@
         }
         const bool answered = ended->end == TransferEnd::Complete;
         const auto loaded = answered && ended->status == statusOk ? parseEngineState(ended->body) : std::nullopt;
-        m_context.metrics.countEngineRead(loaded ? ProbeOutcome::Reached : answered ? ProbeOutcome::Malformed
-                                                                                    : ProbeOutcome::Unreached);
+        m_context.metrics.countEngineRead(loaded ? EngineReadOutcome::Answered : answered ? EngineReadOutcome::Unreadable
+                                                                                          : EngineReadOutcome::Unanswered);
         if (loaded) {
             readLoad(server, epoch, *loaded);
         } else {
--- a/packages/decisions/include/siskinspread/EngineOrders.h
+++ b/packages/decisions/include/siskinspread/EngineOrders.h
@@ -143,6 +143,7 @@
     MonotonicTime nextReadAt;
     std::chrono::milliseconds retryDelay { 0 };
     std::optional<MonotonicTime> orderedAt; /**< Set while an order waits for its effect. */
+    EngineTarget loadedAtOrder; /**< Read directly before that order. */
     ServerHold hold { ServerHold::None };
     MonotonicTime heldBackSince;
 };
--- a/packages/decisions/src/EngineOrders.cpp
+++ b/packages/decisions/src/EngineOrders.cpp
@@ -6,6 +6,21 @@
 
 namespace {
 
+    bool contains(const std::vector<EngineItem>& items, const EngineItem& item)
+    {
+        return std::find(items.begin(), items.end(), item) != items.end();
+    }
+
+    /** @return whether an engine on its way from `before` to `target` can have this loaded; otherwise another's order took effect. */
+    bool comesFrom(const EngineTarget& loaded, const EngineTarget& before, const EngineTarget& target)
+    {
+        const auto isKnown = [](const std::vector<EngineItem>& items, const std::vector<EngineItem>& from, const std::vector<EngineItem>& to) {
+            return std::all_of(items.begin(), items.end(), [&](const EngineItem& item) { return contains(from, item) || contains(to, item); });
+        };
+        return isKnown(loaded.models, before.models, target.models) && isKnown(loaded.adapters, before.adapters, target.adapters)
+            && (loaded.role == before.role || loaded.role == target.role);
+    }
+
     struct Stepper {
         EngineOrdersState& state;
         const EngineOrdersOptions& options;
@@ -23,9 +38,10 @@
             return std::count_if(state.engines.begin(), state.engines.end(), [](const auto& entry) { return entry.second.orderedAt.has_value(); });
         }
 
-        bool mayOrder(const EngineOrderState& engine) const
+        bool mayOrder(const EngineOrderState& engine, const EngineRead& read) const
         {
-            if (engine.orderedAt && now < *engine.orderedAt + options.loadTimeout) {
+            const bool isOwnProgress = comesFrom(read.loaded, engine.loadedAtOrder, engine.target);
+            if (engine.orderedAt && isOwnProgress && now < *engine.orderedAt + options.loadTimeout) {
                 return false; // carried out at this moment
             }
             if (!engine.checksFencingNumbers && now < state.leaseGainedAt + options.takeoverDelay) {
@@ -94,7 +110,7 @@
                 return;
             }
             engine->nextReadAt = now + options.settleInterval;
-            if (!state.fencingNumber || !mayOrder(*engine)) {
+            if (!state.fencingNumber || !mayOrder(*engine, read)) {
                 return;
             }
             if (isDestructive(read.loaded, engine->target) && !becomesQuiet(*engine, read)) {
@@ -102,6 +118,7 @@
             }
             engine->callOpen = true;
             engine->orderedAt = now;
+            engine->loadedAtOrder = read.loaded;
             actions.emplace_back(OrderEngine { .server = read.server, .loaded = read.loaded, .target = engine->target, .fencingNumber = *state.fencingNumber });
         }
 
@@ -175,11 +192,6 @@
         }
     }
 
-    bool contains(const std::vector<EngineItem>& items, const EngineItem& item)
-    {
-        return std::find(items.begin(), items.end(), item) != items.end();
-    }
-
     bool containsName(const std::vector<EngineItem>& items, const EngineItem& item)
     {
         return std::any_of(items.begin(), items.end(), [&item](const EngineItem& other) { return other.name == item.name; });
--- a/packages/decisions/tests/EngineOrdersTest.cpp
+++ b/packages/decisions/tests/EngineOrdersTest.cpp
@@ -52,6 +52,18 @@
     CHECK_FALSE(f.orderAfter(modelA, 0));
 }
 
+TEST_CASE("an order that shows no effect yet is waited for, but not when another's order has taken effect instead")
+{
+    Fixture f;
+    f.send(EngineWanted { .server = "s", .pool = "p", .target = modelA, .checksFencingNumbers = false });
+    REQUIRE(f.orderAfter({}, 0));
+    f.send(EngineOrderAccepted { "s" });
+    CHECK_FALSE(f.orderAfter({}, 0));
+    CHECK_FALSE(f.orderAfter(modelB, 0));
+    f.send(EngineHeldBack { "s" });
+    CHECK(f.orderAfter(modelB, 0));
+}
+
 TEST_CASE("a lost answer is followed by a read before the order is repeated")
 {
     Fixture f;
--- a/packages/observability/include/siskinspread/Metrics.h
+++ b/packages/observability/include/siskinspread/Metrics.h
@@ -63,6 +63,13 @@
     LeaseLost, /**< Not sent: the lease was no longer held. */
 };
 
+/** How a read of what an engine has loaded ended. */
+enum class EngineReadOutcome : uint8_t {
+    Answered,
+    Unanswered,
+    Unreadable, /**< Something answered, but not with the state of an engine. */
+};
+
 /** Which way news of backend servers went. */
 enum class NewsDirection : uint8_t {
     Sent,
@@ -123,7 +130,7 @@
     void countEngineOrder(EngineOrderOutcome outcome);
 
     /** Counts a read of what an engine has loaded. Thread safety: any thread. */
-    void countEngineRead(ProbeOutcome outcome);
+    void countEngineRead(EngineReadOutcome outcome);
 
     /** Counts a server that this host took out of routing for a change, by whether all live hosts had confirmed. Thread safety: any thread. */
     void countServerHold(bool confirmed);
--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -27,6 +27,8 @@
 
     constexpr std::array<std::string_view, 5> orderOutcomeNames { "accepted", "fencing_refused", "failed", "unanswered", "lease_lost" };
 
+    constexpr std::array<std::string_view, 3> readOutcomeNames { "answered", "unanswered", "unreadable" };
+
     constexpr std::array<std::string_view, 2> holdNames { "unconfirmed", "confirmed" };
 
     constexpr std::array<std::string_view, 2> directionNames { "sent", "received" };
@@ -134,6 +136,8 @@
     }
     for (std::string_view outcome : probeNames) {
         m_series->backendProbes.Add(label("outcome", outcome));
+    }
+    for (std::string_view outcome : readOutcomeNames) {
         m_series->engineReads.Add(label("outcome", outcome));
     }
     for (std::string_view outcome : orderOutcomeNames) {
@@ -222,9 +226,9 @@
     m_series->engineOrders.Add(label("outcome", orderOutcomeNames.at(static_cast<size_t>(outcome)))).Increment();
 }
 
-void Metrics::countEngineRead(ProbeOutcome outcome)
+void Metrics::countEngineRead(EngineReadOutcome outcome)
 {
-    m_series->engineReads.Add(label("outcome", probeNames.at(static_cast<size_t>(outcome)))).Increment();
+    m_series->engineReads.Add(label("outcome", readOutcomeNames.at(static_cast<size_t>(outcome)))).Increment();
 }
 
 void Metrics::countServerHold(bool confirmed)
