--- a/packages/daemon/src/EngineOrdersAdapter.cpp
+++ b/packages/daemon/src/EngineOrdersAdapter.cpp
@@ -38,8 +38,8 @@
 
     void addItem(std::vector<EngineItem>& items, EngineItem item)
     {
-        const auto at = std::lower_bound(items.begin(), items.end(), item);
-        if (at == items.end() || *at != item) {
+        const auto at = std::lower_bound(items.begin(), items.end(), item, [](const EngineItem& a, const EngineItem& b) { return a.name < b.name; });
+        if (at == items.end() || at->name != item.name) {
             items.insert(at, std::move(item));
         }
     }
--- a/packages/daemon/tests/EngineOrdersAdapterTest.cpp
+++ b/packages/daemon/tests/EngineOrdersAdapterTest.cpp
@@ -40,6 +40,28 @@
         DutyLeaseAdapter lease { context, { .timers = timers, .clock = [this] { return clock; }, .rank = [] { return 0; } }, store, "d" };
         EngineOrdersAdapter orders { context, { .timers = timers, .clock = [this] { return clock; }, .engines = backendServers, .lease = lease, .holds = holds }, store };
 
+        /** Gains the lease and lets `adapter` begin an order of two steps; the engine has accepted the first one `later`. */
+        void orderTwoSteps(EngineOrdersAdapter& adapter, std::chrono::milliseconds later)
+        {
+            schema::Configuration wanted = configuration(1);
+            schema::EngineAdapter& terse = *wanted.mutable_services(0)->mutable_engine_loads()->add_adapters();
+            terse.set_name("terse");
+            terse.set_version("1");
+            adapter.configured(wanted);
+            lease.start();
+            adapter.start();
+            answerLease(404, 0);
+            answerLease(201, 1);
+            pass(1s);
+            answer(platform.take("objects/configuration").value(), 200, encodeConfiguration(wanted));
+            pass(1s);
+            answer(backendServers.take("/orders").value(), 200, R"({"models": {}, "adapters": {}, "role": "mixed"})");
+            answer(backendServers.take("/load").value(), 200, R"({"running": 0, "queued": 0})");
+            const auto first = backendServers.take("load_model").value();
+            clock += later;
+            answer(first, 200, "{}");
+        }
+
         void pass(std::chrono::milliseconds time)
         {
             for (const MonotonicTime end = context.now + time; context.now < end;) {
@@ -103,6 +125,25 @@
     CHECK(order->transfer.startBefore == lease.validUntil());
 }
 
+TEST_CASE_FIXTURE(OrdersFixture, "the next step of an order goes out while the lease is held")
+{
+    orderTwoSteps(orders, 5s);
+    CHECK(backendServers.take("load_adapter"));
+}
+
+TEST_CASE_FIXTURE(OrdersFixture, "a holder that wakes between two steps past its lease drops the next one")
+{
+    orderTwoSteps(orders, 20s);
+    CHECK_FALSE(backendServers.take("load_adapter"));
+}
+
+TEST_CASE_FIXTURE(OrdersFixture, "without a look at the lease before each step the next one goes out past the lease")
+{
+    EngineOrdersAdapter unsafe { context, { .timers = timers, .clock = [this] { return clock; }, .engines = backendServers, .lease = lease, .holds = holds, .check = OrderLeaseCheck::None }, store };
+    orderTwoSteps(unsafe, 20s);
+    CHECK(backendServers.take("load_adapter"));
+}
+
 TEST_CASE_FIXTURE(OrdersFixture, "a hold is told to every live host, ends by itself and is taken from peers")
 {
     std::vector<std::string> live { "b", "c" };
--- a/packages/decisions/include/siskinspread/EngineOrders.h
+++ b/packages/decisions/include/siskinspread/EngineOrders.h
@@ -23,7 +23,7 @@
 struct EngineItem {
     std::string name;
     std::string version;
-    auto operator<=>(const EngineItem&) const = default;
+    bool operator==(const EngineItem&) const = default;
 };
 
 /** What an engine should have loaded, or has. Each list is sorted and names an item once. */
--- a/tests/process/EngineOrdersTest.cpp
+++ b/tests/process/EngineOrdersTest.cpp
@@ -207,9 +207,12 @@
         return engines.deployment.metric(host, "siskinspread_store_calls_total", std::string { "outcome=\"" } + outcome + "\",purpose=\"duty_lease\"");
     };
 
+    const auto lost = [&] { return leaseCalls(first, "unavailable") + leaseCalls(first, "conflict"); };
+    const double lostBefore = lost();
     engines.deployment.objectApi().setFaults(R"({"lose_next_write_answers": 1000})");
+    // libcurl repeats a call on a kept connection that closes, and the repeated one meets its own write.
     eventually(
-        "a renewal's answer was lost", [&] { return leaseCalls(first, "unavailable") >= 1; }, longWait);
+        "a renewal's answer was lost", [&] { return lost() > lostBefore; }, longWait);
     engines.deployment.objectApi().setFaults(R"({"lose_next_write_answers": 0})");
     const double answered = leaseCalls(first, "answered");
     eventually(
--- a/tools/SettingsTable.cpp
+++ b/tools/SettingsTable.cpp
@@ -27,6 +27,8 @@
 )";
 
 constexpr const char* serviceContradictions = R"(
+`engine_loads` may be absent as a whole. Its `model` is the service's name when absent.
+
 Refused as contradictory in one file: `progress_timeout_ms` below `first_token_target_ms`, or not above
 `between_tokens_target_ms`; both weights zero; a call, a customer's limit, or the name or address of a backend server
 that stands twice in a service; `engine_loads` in a plain service, or with an adapter that stands twice; a file without
