--- a/tests/standins/Engine.h
+++ b/tests/standins/Engine.h
@@ -41,6 +41,7 @@
     bool reorderChunks { false }; /**< Of each four chunks the second and third change places. */
     bool badTokenIndex { false }; /**< Chunks carry a text for the number of their token. */
     int rejectStatus { 0 }; /**< Answer to every request, which is not run; 0 for none. */
+    bool keepOrders { false }; /**< Orders wait until they are released. */
     double slowFactor { 1 };
     std::optional<uint64_t> breakAfterTokens;
     std::optional<uint64_t> silentAfterTokens;
@@ -104,6 +105,7 @@
     bool isCutOff(const Call& call) const;
     void serveChat(const Call& call, const Responder& responder);
     void serveOrders(const Call& call, const Responder& responder);
+    void obey(const nlohmann::json& order, const Responder& responder);
     void serveCancel(const Call& call, const Responder& responder);
     void serveExport(const Call& call, const Responder& responder);
     void serveImport(const Call& call, const Responder& responder);
@@ -139,6 +141,7 @@
     EventLoop& m_loop;
     EngineFaults m_faults;
     EngineState m_state;
+    std::vector<std::function<void()>> m_keptOrders;
     PrefixCache m_cache;
     LaggedValue<EngineLoad> m_load;
     std::map<uint64_t, RunPointer> m_runs; /**< Queued and running, by number. */
--- a/tests/standins/EngineApi.cpp
+++ b/tests/standins/EngineApi.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace siskinspread::standin {
 namespace {
@@ -78,15 +79,27 @@
 
 void Engine::serveOrders(const Call& call, const Responder& responder)
 {
-    if (call.method == "POST") {
-        const auto order = nlohmann::json::parse(call.body);
-        if (!obeyOrder(m_state, order)) {
-            sendJson(responder, 409, describeState(m_state));
-            return;
-        }
-        if (order.at("order") == "unload_model") {
-            unloadModel(order.at("model").get<std::string>());
-        }
+    if (call.method != "POST") {
+        sendJson(responder, 200, describeState(m_state));
+        return;
+    }
+    ++m_state.received;
+    const auto order = nlohmann::json::parse(call.body);
+    if (m_faults.keepOrders) {
+        m_keptOrders.emplace_back([this, order, responder] { obey(order, responder); });
+    } else {
+        obey(order, responder);
+    }
+}
+
+void Engine::obey(const nlohmann::json& order, const Responder& responder)
+{
+    if (!obeyOrder(m_state, order, m_runs.size())) {
+        sendJson(responder, 409, describeState(m_state));
+        return;
+    }
+    if (order.at("order") == "unload_model") {
+        unloadModel(order.at("model").get<std::string>());
     }
     sendJson(responder, 200, describeState(m_state));
 }
@@ -177,6 +190,12 @@
         m_faults.badTokenIndex = value.get<bool>();
     } else if (name == "reject_status") {
         m_faults.rejectStatus = value.get<int>();
+    } else if (name == "keep_orders") {
+        m_faults.keepOrders = value.get<bool>();
+    } else if (name == "release_orders") {
+        for (const auto& order : std::exchange(m_keptOrders, {})) {
+            order();
+        }
     } else if (name == "slow_factor") {
         m_faults.slowFactor = value.get<double>();
     } else if (name == "unreachable_for") {
