--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -8,6 +8,7 @@
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
+#include "siskinspread/CountedDatagrams.h"
 #include "siskinspread/DrainRoute.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/KeyedRequests.h"
@@ -165,6 +166,7 @@
     void takeHeartbeats()
     {
         while (const auto datagram = m_heartbeats.next()) {
+            m_context.metrics.countDatagram(NewsDirection::Received, datagram->bytes.size());
             m_membership.receive(*datagram);
         }
     }
@@ -318,8 +320,9 @@
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .attach = m_attach, .log = m_writer } };
     StreamHandovers m_handovers { m_context, { .timers = m_timers, .models = m_models, .requests = m_requests, .peers = m_directory, .log = m_writer, .isDraining = [this] { return m_routes.isDraining(); } } };
     ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { enforce(configuration); } };
-    MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
-    BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_heartbeats, .pools = m_pools, .membership = m_membership } };
+    CountedDatagrams m_datagrams { m_heartbeats, m_metrics };
+    MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_datagrams, m_configuration };
+    BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_datagrams, .pools = m_pools, .membership = m_membership } };
     SystemView m_system { m_context, m_membership, m_configuration };
     OperatorRoutes m_operators { m_context, { .pools = m_pools, .requests = m_requests, .accounts = m_accounts, .ownersOfKey = [this](const IdempotencyKey& key) { return m_slices.ownersOfKey(key); }, .system = m_system, .backendServers = m_backendStatus } };
     PlannedStop m_stop { m_context, [this] { return openRequests(); } };
--- a/packages/decisions/tests/MembershipNetwork.h
+++ b/packages/decisions/tests/MembershipNetwork.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <random>
 
 namespace siskinspread {
@@ -72,6 +73,8 @@
         }
     }
 
+    std::function<size_t(const MembershipMessage&)> sizeOf = approximateSize; /**< Replace it to count by a codec. */
+
     void forgetTraffic()
     {
         for (Host& host : m_hosts) {
@@ -157,7 +160,8 @@
         MembershipMessage message;
     };
 
-    static size_t wireSize(const MembershipMessage& message)
+    /** @return roughly the bytes of a message and its headers. */
+    static size_t approximateSize(const MembershipMessage& message)
     {
         constexpr size_t recordBytes = 80;
         size_t bytes = 28 + 16 + recordBytes * (1 + message.rumours.size()) + 24 * message.views.size();
@@ -177,7 +181,7 @@
         step(m_hosts[index].state, m_options, event, m_now, actions);
         for (const MembershipAction& action : actions) {
             if (const auto* send = std::get_if<SendMembership>(&action)) {
-                m_hosts[index].bytesSent += wireSize(send->message);
+                m_hosts[index].bytesSent += sizeOf(send->message);
                 ++m_hosts[index].messagesSent;
                 m_flights.push_back({ index, indexOf(send->address), send->message });
             }
--- a/packages/observability/include/siskinspread/Metrics.h
+++ b/packages/observability/include/siskinspread/Metrics.h
@@ -54,7 +54,7 @@
     Malformed, /**< Something answered, but not with a load report; counts as unreached. */
 };
 
-/** Which way news of backend servers went. */
+/** Which way a datagram went. */
 enum class NewsDirection : uint8_t {
     Sent,
     Received,
@@ -110,6 +110,9 @@
     /** Counts a datagram with news of backend servers and its bytes. Thread safety: any thread. */
     void countBackendNews(NewsDirection direction, size_t bytes);
 
+    /** Counts any datagram to or from another entry host and its bytes. Thread safety: any thread. */
+    void countDatagram(NewsDirection direction, size_t bytes);
+
     /** Counts tokens that were passed on to a caller. Thread safety: any thread. */
     void countTokensDelivered(std::string_view service, uint64_t tokens);
 
--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -62,6 +62,8 @@
         , backendProbes(counters(registry, labels, "siskinspread_backend_probes_total", "Questions for a backend server's load, by outcome."))
         , backendNews(counters(registry, labels, "siskinspread_backend_news_total", "Datagrams with news of backend servers, by direction."))
         , backendNewsBytes(counters(registry, labels, "siskinspread_backend_news_bytes_total", "Bytes of datagrams with news of backend servers, by direction."))
+        , datagrams(counters(registry, labels, "siskinspread_datagrams_total", "Datagrams between entry hosts, by direction."))
+        , datagramBytes(counters(registry, labels, "siskinspread_datagram_bytes_total", "Bytes of datagrams between entry hosts, by direction."))
         , tokensDelivered(counters(registry, labels, "siskinspread_tokens_delivered_total", "Tokens passed on to callers, by service."))
         , tokensRecomputed(counters(registry, labels, "siskinspread_tokens_recomputed_total", "Tokens that backend servers had to compute again, by service."))
         , reclaimNotices(counters(registry, labels, "siskinspread_reclaim_notices_total", "Reclaim notices of the cloud API, by whom they are about."))
@@ -95,6 +97,8 @@
     CounterFamily& backendProbes;
     CounterFamily& backendNews;
     CounterFamily& backendNewsBytes;
+    CounterFamily& datagrams;
+    CounterFamily& datagramBytes;
     CounterFamily& tokensDelivered;
     CounterFamily& tokensRecomputed;
     CounterFamily& reclaimNotices;
@@ -178,6 +182,13 @@
     m_series->backendNewsBytes.Add(labels).Increment(static_cast<double>(bytes));
 }
 
+void Metrics::countDatagram(NewsDirection direction, size_t bytes)
+{
+    const prometheus::Labels labels = label("direction", directionNames.at(static_cast<size_t>(direction)));
+    m_series->datagrams.Add(labels).Increment();
+    m_series->datagramBytes.Add(labels).Increment(static_cast<double>(bytes));
+}
+
 void Metrics::countTokensDelivered(std::string_view service, uint64_t tokens)
 {
     m_series->tokensDelivered.Add(label("service", m_series->serviceLabel(service))).Increment(static_cast<double>(tokens));
