--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "siskinspread/CallerRoutes.h"
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
+#include "siskinspread/CountedDatagrams.h"
 #include "siskinspread/DrainRoute.h"
 #include "siskinspread/DutyLeaseAdapter.h"
 #include "siskinspread/DutyRank.h"
@@ -180,6 +181,7 @@
     void takeHeartbeats()
     {
         while (const auto datagram = m_heartbeats.next()) {
+            m_context.metrics.countDatagram(NewsDirection::Received, datagram->bytes.size());
             m_membership.receive(*datagram);
         }
     }
@@ -342,7 +344,8 @@
     PlainRequests m_plain { m_context, m_timers, m_admissions, m_requests };
     PeerCalls m_peerCalls { m_context };
     ConfigurationFeedAdapter m_configuration { m_context, m_timers, m_store, m_peerCalls, [this](const schema::Configuration& configuration) { enforce(configuration); } };
-    MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_heartbeats, m_configuration };
+    CountedDatagrams m_datagrams { m_heartbeats, m_metrics };
+    MembershipAdapter m_membership { m_context, m_timers, m_peerCalls, m_datagrams, m_configuration };
     PeerDirectory m_directory { m_context, { .timers = m_timers, .calls = m_peerCalls, .membership = m_membership }, cloudOptions(m_settings.platform()) };
     CopyDesk m_copies { m_context, m_timers, m_peerCalls, m_directory };
     LogCloser m_closer { m_context, m_timers, m_store };
@@ -355,7 +358,7 @@
     StreamAttach m_attach { m_context, { .models = m_models, .requests = m_requests, .accounts = m_accounts } };
     CallerRoutes m_routes { m_context, { .pools = m_pools, .requests = m_requests, .models = m_models, .plain = m_plain, .keyed = m_keyed, .slices = m_slices, .accounts = m_accounts, .attach = m_attach, .log = m_writer } };
     StreamHandovers m_handovers { m_context, { .timers = m_timers, .models = m_models, .requests = m_requests, .peers = m_directory, .log = m_writer, .isDraining = [this] { return m_routes.isDraining(); } } };
-    BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_heartbeats, .pools = m_pools, .membership = m_membership } };
+    BackendStatusAdapter m_backendStatus { m_context, { .timers = m_timers, .probes = m_backendServers, .heartbeats = m_datagrams, .pools = m_pools, .membership = m_membership } };
     ServerHolds m_holds { m_context, { .timers = m_timers, .calls = m_peerCalls, .otherHosts = [this] { return otherLiveHosts(); } } };
     const std::string m_engineDuty { "engine-orders/" + m_settings.host().failure_domain() };
     DutyLeaseAdapter m_engineLease { m_context, { .timers = m_timers, .clock = std::chrono::steady_clock::now, .rank = [this] { return dutyRankOf(m_engineDuty); } }, m_store, m_engineDuty };
--- a/packages/observability/include/siskinspread/Metrics.h
+++ b/packages/observability/include/siskinspread/Metrics.h
@@ -70,7 +70,7 @@
     Unreadable, /**< Something answered, but not with the state of an engine. */
 };
 
-/** Which way news of backend servers went. */
+/** Which way a datagram went. */
 enum class NewsDirection : uint8_t {
     Sent,
     Received,
@@ -138,6 +138,9 @@
     /** Sets whether this host holds the lease for the engines of its failure domain. Thread safety: any thread. */
     void setDutyHeld(bool held);
 
+    /** Counts any datagram to or from another entry host and its bytes. Thread safety: any thread. */
+    void countDatagram(NewsDirection direction, size_t bytes);
+
     /** Counts tokens that were passed on to a caller. Thread safety: any thread. */
     void countTokensDelivered(std::string_view service, uint64_t tokens);
 
--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -72,6 +72,8 @@
         , engineReads(counters(registry, labels, "siskinspread_engine_reads_total", "Reads of what engines have loaded, by outcome."))
         , serverHolds(counters(registry, labels, "siskinspread_server_holds_total", "Servers taken out of routing for a change, by whether all hosts confirmed."))
         , dutyHeld(gauge(registry, labels, "siskinspread_engine_duty_held", "1 while this host gives the orders of its failure domain."))
+        , datagrams(counters(registry, labels, "siskinspread_datagrams_total", "Datagrams between entry hosts, by direction."))
+        , datagramBytes(counters(registry, labels, "siskinspread_datagram_bytes_total", "Bytes of datagrams between entry hosts, by direction."))
         , tokensDelivered(counters(registry, labels, "siskinspread_tokens_delivered_total", "Tokens passed on to callers, by service."))
         , tokensRecomputed(counters(registry, labels, "siskinspread_tokens_recomputed_total", "Tokens that backend servers had to compute again, by service."))
         , reclaimNotices(counters(registry, labels, "siskinspread_reclaim_notices_total", "Reclaim notices of the cloud API, by whom they are about."))
@@ -109,6 +111,8 @@
     CounterFamily& engineReads;
     CounterFamily& serverHolds;
     prometheus::Gauge& dutyHeld;
+    CounterFamily& datagrams;
+    CounterFamily& datagramBytes;
     CounterFamily& tokensDelivered;
     CounterFamily& tokensRecomputed;
     CounterFamily& reclaimNotices;
@@ -201,6 +205,13 @@
     m_series->backendNewsBytes.Add(labels).Increment(static_cast<double>(bytes));
 }
 
+void Metrics::countDatagram(NewsDirection direction, size_t bytes)
+{
+    const prometheus::Labels labels = label("direction", directionNames.at(static_cast<size_t>(direction)));
+    m_series->datagrams.Add(labels).Increment();
+    m_series->datagramBytes.Add(labels).Increment(static_cast<double>(bytes));
+}
+
 void Metrics::countTokensDelivered(std::string_view service, uint64_t tokens)
 {
     m_series->tokensDelivered.Add(label("service", m_series->serviceLabel(service))).Increment(static_cast<double>(tokens));
