--- a/packages/daemon/tests/AdmissionDeskTest.cpp
+++ b/packages/daemon/tests/AdmissionDeskTest.cpp
@@ -91,7 +91,7 @@
     holdMany("large", 2);
     hold("large", "dolly");
     CHECK(answers.back().result == ResultCode::Ok);
-    CHECK(answers.back().replayOf == answers.front().request);
+    CHECK(answers.back().repeatOf == answers.front().request);
 }
 
 TEST_CASE_FIXTURE(NarrowLedger, "a call that outlives its answer keeps its place until it ends, and its server's load is then lower")
