--- a/benchmark/RoutingDecision.cpp
+++ b/benchmark/RoutingDecision.cpp
@@ -1,4 +1,5 @@
 // Processor time and allocations of one routing decision by size of the pool. Prints one line for each size and the slope.
+// With a size as argument: decisions of that size only, for counting instructions.
 
 #include "siskinspread/Routing.h"
 
@@ -106,8 +107,11 @@
 
 } // namespace
 
-int main()
+int main(int count, char** arguments)
 {
+    if (count > 1) {
+        return measure(std::strtoull(arguments[1], nullptr, 10)).nanoseconds > 0 ? 0 : 1;
+    }
     const size_t sizes[] { 20, 84, 670 };
     Cost first;
     Cost last;
--- a/packages/decisions/include/siskinspread/Routing.h
+++ b/packages/decisions/include/siskinspread/Routing.h
@@ -53,6 +53,7 @@
     uint32_t missingTokens { 0 }; /**< Prompt tokens that it probably has to compute. */
     std::chrono::microseconds expectedFirstToken { 0 };
     bool overBound { false }; /**< Every usable server was over its bound. */
+    bool operator==(const RouteChoice&) const = default;
 };
 
 /**
@@ -79,4 +80,7 @@
  */
 std::optional<RouteChoice> chooseBackendServer(const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, LastReason& reason);
 
+/** The same choice by sorting and without shortcuts, several times slower: what chooseBackendServer is compared with. */
+std::optional<RouteChoice> chooseBackendServerPlainly(const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, LastReason& reason);
+
 } // namespace siskinspread
--- a/packages/decisions/include/siskinspread/RoutingPrefix.h
+++ b/packages/decisions/include/siskinspread/RoutingPrefix.h
@@ -68,6 +68,9 @@
  */
 std::vector<PrefixUse> prefixUses(const PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now);
 
+/** As prefixUses, without memory of its own. @param uses one for each block, empty before. */
+void fillPrefixUses(const PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now, std::span<PrefixUse> uses);
+
 /**
  * Which backend servers hold which prefix block, as far as cache events and this host's own dispatches tell. Events
  * come late and with gaps, so an entry is a hint that expires. Direct-mapped with fixed memory.
--- a/packages/decisions/src/Routing.cpp
+++ b/packages/decisions/src/Routing.cpp
@@ -1,9 +1,12 @@
 #include "siskinspread/Routing.h"
 
+#include "RoutingHomes.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <limits>
+#include <memory_resource>
 
 namespace siskinspread {
 
@@ -11,19 +14,12 @@
 
     constexpr double missedDeadlineCost = 1e7; // milliseconds; above any other cost
     constexpr size_t maximumHints = 8;
-    constexpr size_t fewHomesFactor = 16;
-
-    /** A server that new work may go to. */
-    struct Candidate {
-        uint64_t nameHash { 0 };
-        size_t index { 0 }; // into PoolView::servers
-        double homeTokens { 0 }; // prompt tokens expected in its cache because it is a home of their blocks
-    };
+    // What a decision about a thousand servers needs; beyond it the heap serves.
+    constexpr size_t scratchBytes = size_t { 96 } * 1024;
 
     struct Load {
         EstimatedLoad estimate;
         double slots { 0 };
-        bool overBound { false };
     };
 
     /** A server that probably holds a beginning of the prompt, by event or by this host's own dispatch. */
@@ -39,82 +35,16 @@
 
     using Milliseconds = std::chrono::duration<double, std::milli>;
 
-    std::vector<Candidate> usableServers(const PoolView& view, const RouteRequest& request)
+    Candidates usableServers(const PoolView& view, const RouteRequest& request, std::pmr::memory_resource& memory)
     {
-        std::vector<Candidate> candidates;
-        candidates.reserve(view.servers.size());
+        const Candidates candidates = scratchFor<Candidate>(memory, view.servers.size());
+        size_t count = 0;
         for (size_t i = 0; i < view.servers.size(); ++i) {
             if (mayReceive(view.servers[i], request.excluded)) {
-                candidates.push_back({ .nameHash = view.servers[i].nameHash, .index = i });
+                candidates[count++] = { .nameHash = view.servers[i].nameHash, .index = i, .homeTokens = 0 };
             }
         }
-        return candidates;
-    }
-
-    /** A candidate that is a home of the prompt's beginning so far. */
-    struct Home {
-        uint64_t weight { 0 };
-        size_t position { 0 }; // among the candidates
-    };
-
-    /** Keeps the first `wanted` homes in rendezvous order of the block. */
-    void narrowHomes(std::vector<Home>& homes, size_t wanted, PrefixBlock block, const std::vector<Candidate>& candidates)
-    {
-        for (Home& home : homes) {
-            home.weight = rendezvousWeight(block, candidates[home.position].nameHash);
-        }
-        const auto end = homes.begin() + static_cast<std::ptrdiff_t>(wanted);
-        const auto byWeight = [](const Home& left, const Home& right) { return left.weight > right.weight; };
-        if (wanted * fewHomesFactor < homes.size()) {
-            std::partial_sort(homes.begin(), end, homes.end(), byWeight); // one comparison for most homes
-        } else {
-            std::nth_element(homes.begin(), end - 1, homes.end(), byWeight);
-        }
-        homes.erase(end, homes.end());
-    }
-
-    void creditEach(const std::vector<Home>& homes, double tokens, std::vector<Candidate>& candidates)
-    {
-        for (const Home& home : homes) {
-            candidates[home.position].homeTokens = tokens;
-        }
-    }
-
-    void appendPositions(const std::vector<Home>& homes, size_t most, std::vector<size_t>& positions)
-    {
-        for (size_t i = 0; i < std::min(most, homes.size()); ++i) {
-            positions.push_back(homes[i].position);
-        }
-    }
-
-    /**
-     * Credits each candidate with the prompt tokens that nested rendezvous places on it.
-     * @return the positions of the candidates that were homes when few of them were left, the last homes at the end.
-     */
-    std::vector<size_t> creditHomes(std::vector<Candidate>& candidates, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now)
-    {
-        std::vector<Home> homes(candidates.size());
-        std::vector<size_t> positions;
-        positions.reserve(2 * options.sample);
-        for (size_t i = 0; i < homes.size(); ++i) {
-            homes[i].position = i;
-        }
-        const double servers = static_cast<double>(homes.size());
-        const std::vector<PrefixUse> uses = prefixUses(view.popularity, request.blocks, now);
-        double credited = 0;
-        for (size_t i = 0; i < request.blocks.size(); ++i) {
-            const PrefixUse& use = uses[i];
-            const double wanted = std::max(1.0, std::ceil(use.share * servers * options.replicaSlack));
-            const bool isInstructions = (i + 1) * request.tokensPerBlock <= options.instructionTokens;
-            if (!isInstructions && wanted < static_cast<double>(homes.size())) {
-                creditEach(homes, credited, candidates);
-                narrowHomes(homes, static_cast<size_t>(wanted), request.blocks[i], candidates);
-                appendPositions(homes, options.sample, positions);
-            }
-            credited += (use.seen ? 1.0 : options.unseenCredit) * request.tokensPerBlock;
-        }
-        creditEach(homes, credited, candidates);
-        return positions;
+        return candidates.first(count);
     }
 
     void addHint(CacheHints& hints, uint64_t serverNameHash, double tokens)
@@ -129,7 +59,7 @@
     CacheHints cacheHints(const PoolView& view, const RouteRequest& request, MonotonicTime now)
     {
         CacheHints hints;
-        for (size_t depth = request.blocks.size(); depth > 0; --depth) {
+        for (size_t depth = request.blocks.size(); depth > 0 && hints.count < maximumHints; --depth) {
             const CachedPrefixes::Entry* entry = findCached(view.cachedPrefixes, request.blocks[depth - 1]);
             if (entry == nullptr) {
                 continue;
@@ -212,15 +142,18 @@
         Scale scale;
     };
 
-    Load loadOf(const Decision& decision, const BackendServerView& server)
+    Load loadOf(const PoolView& view, const BackendServerView& server, MonotonicTime now)
+    {
+        return { .estimate = estimateLoad(view, server, now), .slots = usableSlots(view, server, now) };
+    }
+
+    bool isOverBound(const Decision& decision, const Load& load)
     {
-        Load load { .estimate = estimateLoad(decision.view, server, decision.now), .slots = usableSlots(decision.view, server, decision.now) };
         const double limit = boundedLoadLimit(load.slots, decision.totals.load, decision.totals.slots, decision.options);
-        load.overBound = load.estimate.requests + 1 > limit;
-        return load;
+        return load.estimate.requests + 1 > limit;
     }
 
-    Scored score(const Decision& decision, const Candidate& candidate, const Load& load)
+    Scored score(const Decision& decision, const Candidate& candidate, const Load& load, bool overBound)
     {
         const BackendServerView& server = decision.view.servers[candidate.index];
         const RoutingOptions& options = decision.options;
@@ -240,58 +173,192 @@
             .cost = options.weights.latencyBoundCost * latency + options.weights.recomputedTokens * computing + late,
             .missing = missing,
             .firstToken = firstToken,
-            .overBound = load.overBound,
+            .overBound = overBound,
         };
     }
 
+    using Loads = std::span<Load>;
+
+    Loads loadsOf(const PoolView& view, Candidates candidates, MonotonicTime now, std::pmr::memory_resource& memory)
+    {
+        const Loads loads = scratchFor<Load>(memory, candidates.size());
+        std::transform(candidates.begin(), candidates.end(), loads.begin(), [&](const Candidate& candidate) { return loadOf(view, view.servers[candidate.index], now); });
+        return loads;
+    }
+
+    /** As sumPool, which works the loads out again. */
+    PoolTotals sumLoads(const PoolView& view, Candidates candidates, Loads loads)
+    {
+        PoolTotals totals;
+        for (size_t i = 0; i < candidates.size(); ++i) {
+            totals.load += loads[i].estimate.requests;
+            totals.slots += loads[i].slots;
+            totals.meanPrice += view.servers[candidates[i].index].description.pricePerHour;
+        }
+        totals.meanPrice /= std::max(1.0, static_cast<double>(candidates.size()));
+        return totals;
+    }
+
     /** Replaces `best` when the candidate is inside its bound and `best` is not, or is as good there and cheaper. */
-    void consider(const Decision& decision, const Candidate& candidate, Scored& best)
+    void consider(const Decision& decision, const Candidate& candidate, const Load& load, Scored& best)
     {
-        const Load load = loadOf(decision, decision.view.servers[candidate.index]);
-        if (load.overBound && !best.overBound) {
+        const bool overBound = isOverBound(decision, load);
+        if (overBound && !best.overBound) {
             return;
         }
-        const Scored scored = score(decision, candidate, load);
+        const Scored scored = score(decision, candidate, load, overBound);
         if (scored.cost < best.cost || (best.overBound && !scored.overBound)) {
             best = scored;
         }
     }
 
-    Scored cheapestOfAll(const Decision& decision, const std::vector<Candidate>& candidates)
+    Scored cheapestOfAll(const Decision& decision, Candidates candidates, Loads loads)
     {
         Scored best;
-        for (const Candidate& candidate : candidates) {
-            consider(decision, candidate, best);
+        for (size_t i = 0; i < candidates.size(); ++i) {
+            consider(decision, candidates[i], loads[i], best);
         }
         return best;
     }
 
-    /** @return the candidate that the hint names, or null when it receives no new work. */
-    const Candidate* findCandidate(const Decision& decision, const std::vector<Candidate>& candidates, const CacheHint& hint)
+    /** @return the position of the candidate that the hint names, or nothing when it receives no new work. */
+    std::optional<size_t> findCandidate(const Decision& decision, Candidates candidates, const CacheHint& hint)
     {
         const auto known = decision.view.indexByNameHash.find(hint.serverNameHash);
         if (known == decision.view.indexByNameHash.end()) {
-            return nullptr;
+            return std::nullopt;
         }
         const auto found = std::lower_bound(candidates.begin(), candidates.end(), known->second, [](const Candidate& candidate, size_t index) { return candidate.index < index; });
-        return found != candidates.end() && found->index == known->second ? &*found : nullptr;
+        if (found == candidates.end() || found->index != known->second) {
+            return std::nullopt;
+        }
+        return static_cast<size_t>(found - candidates.begin());
     }
 
-    Scored cheapestOfSome(const Decision& decision, const std::vector<Candidate>& candidates, const std::vector<size_t>& homes)
+    /** Considers some candidates, each once. */
+    class Shortlist {
+    public:
+        Shortlist(const Decision& decision, Candidates candidates, std::pmr::memory_resource& memory)
+            : m_decision(decision)
+            , m_candidates(candidates)
+            , m_considered(candidates.size(), 0, &memory)
+        {
+        }
+
+        void add(size_t position)
+        {
+            if (m_considered[position]++) {
+                return;
+            }
+            const Candidate& candidate = m_candidates[position];
+            const PoolView& view = m_decision.view;
+            consider(m_decision, candidate, loadOf(view, view.servers[candidate.index], m_decision.now), m_best);
+        }
+
+        const Scored& best() const { return m_best; }
+
+    private:
+        const Decision& m_decision;
+        Candidates m_candidates;
+        std::pmr::vector<uint8_t> m_considered;
+        Scored m_best;
+    };
+
+    Scored cheapestOfSome(const Decision& decision, Candidates candidates, std::span<const uint32_t> homes, std::pmr::memory_resource& memory)
     {
-        Scored best;
-        for (const size_t position : homes) {
-            consider(decision, candidates[position], best);
+        Shortlist shortlist(decision, candidates, memory);
+        for (const uint32_t position : homes) {
+            shortlist.add(position);
         }
         for (size_t i = 0; i < decision.hints.count; ++i) {
-            if (const Candidate* holder = findCandidate(decision, candidates, decision.hints.hints[i])) {
-                consider(decision, *holder, best);
+            if (const auto holder = findCandidate(decision, candidates, decision.hints.hints[i])) {
+                shortlist.add(*holder);
             }
         }
         for (size_t i = 0; i < decision.options.sample; ++i) {
-            consider(decision, candidates[rendezvousWeight(decision.request.seed, i) % candidates.size()], best);
+            shortlist.add(rendezvousWeight(decision.request.seed, i) % candidates.size());
         }
-        return best;
+        return shortlist.best();
+    }
+
+    RouteChoice choiceOf(const Scored& best)
+    {
+        return {
+            .index = best.index,
+            .missingTokens = static_cast<uint32_t>(best.missing),
+            .expectedFirstToken = std::chrono::ceil<std::chrono::microseconds>(Milliseconds(best.firstToken)),
+            .overBound = best.overBound,
+        };
+    }
+
+    bool weighsAll(const PoolView& view, Candidates candidates, const RoutingOptions& options)
+    {
+        return candidates.size() <= options.fullScan || view.totals.slots <= 0;
+    }
+
+    /** Precondition: some server may receive the request. */
+    RouteChoice choose(Candidates candidates, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, std::pmr::memory_resource& memory)
+    {
+        std::pmr::vector<PrefixUse> uses(request.blocks.size(), &memory);
+        fillPrefixUses(view.popularity, request.blocks, now, uses);
+        const auto homes = creditHomes(candidates, request, uses, options, keepHomes, memory);
+        const bool all = weighsAll(view, candidates, options);
+        Loads loads = all ? loadsOf(view, candidates, now, memory) : Loads {};
+        const PoolTotals totals = all ? sumLoads(view, candidates, loads) : view.totals;
+        const Decision decision { view, request, options, now, totals, cacheHints(view, request, now), scaleOf(view, totals, request, options, now) };
+        if (!all) {
+            const Scored best = cheapestOfSome(decision, candidates, homes, memory);
+            if (!best.overBound) {
+                return choiceOf(best);
+            }
+            loads = loadsOf(view, candidates, now, memory);
+        }
+        return choiceOf(cheapestOfAll(decision, candidates, loads));
+    }
+
+    /** As choose, with every part done the simple way. */
+    RouteChoice choosePlainly(Candidates candidates, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, std::pmr::memory_resource& memory)
+    {
+        const auto homes = creditHomes(candidates, request, prefixUses(view.popularity, request.blocks, now), options, keepHomesBySorting, memory);
+        const bool all = weighsAll(view, candidates, options);
+        const PoolTotals totals = all ? sumPool(view, request.excluded, now) : view.totals;
+        const Decision decision { view, request, options, now, totals, cacheHints(view, request, now), scaleOf(view, totals, request, options, now) };
+        Scored best;
+        const auto weigh = [&](size_t position) { consider(decision, candidates[position], loadOf(view, view.servers[candidates[position].index], now), best); };
+        if (!all) {
+            std::for_each(homes.begin(), homes.end(), weigh);
+            for (size_t i = 0; i < decision.hints.count; ++i) {
+                if (const auto holder = findCandidate(decision, candidates, decision.hints.hints[i])) {
+                    weigh(*holder);
+                }
+            }
+            for (size_t i = 0; i < options.sample; ++i) {
+                weigh(rendezvousWeight(request.seed, i) % candidates.size());
+            }
+        }
+        if (best.overBound) {
+            best = {};
+            for (size_t i = 0; i < candidates.size(); ++i) {
+                weigh(i);
+            }
+        }
+        return choiceOf(best);
+    }
+
+    using Choose = RouteChoice(Candidates, const PoolView&, const RouteRequest&, const RoutingOptions&, MonotonicTime, std::pmr::memory_resource&);
+
+    std::optional<RouteChoice> chooseBy(Choose& method, const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, LastReason& reason)
+    {
+        if (request.deadline <= now) {
+            return fail(reason, ResultCode::DeadlineExpired, "the deadline has passed");
+        }
+        alignas(std::max_align_t) std::array<std::byte, scratchBytes> scratch; // left without values
+        std::pmr::monotonic_buffer_resource memory(scratch.data(), scratch.size());
+        const Candidates candidates = usableServers(view, request, memory);
+        if (candidates.empty()) {
+            return fail(reason, ResultCode::NoBackendServer, "no backend server may receive the request");
+        }
+        return method(candidates, view, request, options, now, memory);
     }
 
 } // namespace
@@ -304,30 +371,12 @@
 
 std::optional<RouteChoice> chooseBackendServer(const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, LastReason& reason)
 {
-    if (request.deadline <= now) {
-        return fail(reason, ResultCode::DeadlineExpired, "the deadline has passed");
-    }
-    std::vector<Candidate> candidates = usableServers(view, request);
-    if (candidates.empty()) {
-        return fail(reason, ResultCode::NoBackendServer, "no backend server may receive the request");
-    }
-    const std::vector<size_t> homes = creditHomes(candidates, view, request, options, now);
-    const bool weighsAll = candidates.size() <= options.fullScan || view.totals.slots <= 0;
-    const PoolTotals totals = weighsAll ? sumPool(view, request.excluded, now) : view.totals;
-    const Decision decision { view, request, options, now, totals, cacheHints(view, request, now), scaleOf(view, totals, request, options, now) };
-    Scored best;
-    if (!weighsAll) {
-        best = cheapestOfSome(decision, candidates, homes);
-    }
-    if (best.overBound) {
-        best = cheapestOfAll(decision, candidates);
-    }
-    return RouteChoice {
-        .index = best.index,
-        .missingTokens = static_cast<uint32_t>(best.missing),
-        .expectedFirstToken = std::chrono::ceil<std::chrono::microseconds>(Milliseconds(best.firstToken)),
-        .overBound = best.overBound,
-    };
+    return chooseBy(choose, view, request, options, now, reason);
+}
+
+std::optional<RouteChoice> chooseBackendServerPlainly(const PoolView& view, const RouteRequest& request, const RoutingOptions& options, MonotonicTime now, LastReason& reason)
+{
+    return chooseBy(choosePlainly, view, request, options, now, reason);
 }
 
 } // namespace siskinspread
--- a/packages/decisions/src/RoutingPrefix.cpp
+++ b/packages/decisions/src/RoutingPrefix.cpp
@@ -15,10 +15,29 @@
 
     using Seconds = std::chrono::duration<double>;
 
+    float decayFactor(const PrefixPopularity& popularity, MonotonicTime at, MonotonicTime now)
+    {
+        const Seconds age = now - at;
+        return static_cast<float>(std::exp2(-age / Seconds(popularity.halfLife)));
+    }
+
     float decayed(const PrefixPopularity& popularity, const PrefixPopularity::Entry& entry, MonotonicTime now)
     {
-        const Seconds age = now - entry.at;
-        return entry.work * static_cast<float>(std::exp2(-age / Seconds(popularity.halfLife)));
+        return entry.work * decayFactor(popularity, entry.at, now);
+    }
+
+    /** The factor of the time asked for last is kept: the blocks of one prompt were mostly counted at the same time. */
+    struct DecayMemo {
+        MonotonicTime at;
+        float factor { 0 };
+    };
+
+    float decayed(const PrefixPopularity& popularity, const PrefixPopularity::Entry& entry, MonotonicTime now, DecayMemo& memo)
+    {
+        if (entry.at != memo.at) {
+            memo = { .at = entry.at, .factor = decayFactor(popularity, entry.at, now) };
+        }
+        return entry.work * memo.factor;
     }
 
     void addWork(const PrefixPopularity& popularity, PrefixPopularity::Entry& entry, double work, MonotonicTime now)
@@ -117,6 +136,23 @@
     return uses;
 }
 
+void fillPrefixUses(const PrefixPopularity& popularity, std::span<const PrefixBlock> blocks, MonotonicTime now, std::span<PrefixUse> uses)
+{
+    const double total = popularity.entries.empty() ? 0 : decayed(popularity, popularity.total, now);
+    if (total <= 0) {
+        return;
+    }
+    DecayMemo memo { .at = popularity.total.at, .factor = decayFactor(popularity, popularity.total.at, now) };
+    PrefixUse longer;
+    for (size_t i = blocks.size(); i > 0; --i) {
+        if (const PrefixPopularity::Entry* entry = findEntry(popularity, blocks[i - 1])) {
+            const double share = decayed(popularity, *entry, now, memo) / total;
+            longer = { .seen = true, .share = std::max(longer.share, share) };
+        }
+        uses[i - 1] = longer;
+    }
+}
+
 void recordCached(CachedPrefixes& cached, PrefixBlock block, uint64_t serverNameHash, MonotonicTime at)
 {
     CachedPrefixes::Entry& entry = claimEntry(cached, block);
--- a/packages/decisions/tests/RoutingTest.cpp
+++ b/packages/decisions/tests/RoutingTest.cpp
@@ -321,4 +321,40 @@
     CHECK(chooseBackendServer(view, request, {}, now, reason)->index == home);
 }
 
+TEST_CASE("the fast choice is the plain one, in pools of any size and state")
+{
+    CHECK(rc::check([] {
+        PoolView view = poolOf(*rc::gen::element<size_t>(1, 20, 64, 65, 300, 700));
+        const uint64_t mix = *rc::gen::arbitrary<uint64_t>();
+        for (size_t i = 0; i < view.servers.size(); ++i) {
+            const uint64_t draw = rendezvousWeight(mix, i);
+            BackendServerView& server = view.servers[i];
+            server.reachable = draw % 16 > 0;
+            server.slowness = draw % 7 ? 1.0 : 2.5;
+            server.description.pricePerHour = static_cast<double>(draw % 3);
+            server.report->running = static_cast<uint32_t>((draw >> 8) % 24);
+            server.report->queuedPromptTokens = (draw >> 16) % 4000;
+            recordDispatch(server, 300, now - 200ms);
+        }
+        const auto blocks = blocksOf(*rc::gen::container<std::string>(*rc::gen::inRange<size_t>(0, 120), rc::gen::inRange('a', 'c')));
+        for (size_t left = 0; left <= blocks.size(); left += 5) {
+            const size_t depth = blocks.size() - left;
+            recordPrefix(view.popularity, std::span { blocks }.first(depth), 500, now - std::chrono::seconds(3 * depth));
+        }
+        for (const PrefixBlock block : blocks) {
+            recordCached(view.cachedPrefixes, block, view.servers[block % view.servers.size()].nameHash, now - 1s);
+        }
+        refreshPoolView(view, now);
+        const RoutingOptions options { .instructionTokens = *rc::gen::element(0U, 256U) };
+        const std::vector<std::string> excluded { "replica-0", "replica-7" };
+        LastReason reason;
+        for (uint64_t seed = 0; seed < 4; ++seed) {
+            RouteRequest request = requestFor(blocks);
+            request.seed = seed;
+            request.excluded = std::span { excluded }.first(seed % 3);
+            RC_ASSERT(chooseBackendServer(view, request, options, now, reason) == chooseBackendServerPlainly(view, request, options, now, reason));
+        }
+    }));
+}
+
 } // namespace siskinspread
