Take a new connection for each retry and tell a spent retry budget of holds

Cause: the design note says that an attempt after a silent connection uses a new one, and no code asked for it: a second attempt could take a pooled connection that had gone silent as well. A plain call that timed out counted as a broken stream. A hold whose retry the budget refused was told the last attempt's reason and a time that had nothing to do with the budget.

Ruled out: new connections for first attempts too (a round trip for each request).

Before and after: without the changes 3 of the 4 new cases of daemon_tests fail (401 against 207; no backend_no_progress; no connection of its own), with them 45 of 45 pass. The fourth, no herd on a returning server, passed before as well.

--- a/packages/daemon/include/siskinspread/PlainRequests.h
+++ b/packages/daemon/include/siskinspread/PlainRequests.h
@@ -26,6 +26,7 @@
     std::string body;
     MonotonicTime deadline {};
     uint32_t attempts { 0 };
+    MonotonicTime dispatchedAt {};
     std::vector<std::string> excluded;
     std::string backendServer; /**< Of the attempt in progress; empty between attempts. */
     TransferId transfer { 0 };
--- a/packages/daemon/src/ModelAttempts.cpp
+++ b/packages/daemon/src/ModelAttempts.cpp
@@ -104,6 +104,7 @@
     };
     transfer.body = jsonText(body);
     transfer.streaming = true;
+    transfer.freshConnection = request.attempts > request.attemptsBefore + 1; // a pooled one may have gone silent as well
     return transfer;
 }
 
--- a/packages/daemon/src/OwnerDesk.cpp
+++ b/packages/daemon/src/OwnerDesk.cpp
@@ -219,7 +219,13 @@
         Pending& pending = entry->second;
         pending.excluded.push_back(backendServer);
         const auto pool = m_parts.pools.find(pending.request.service);
-        retryAllowed = pool && attempt < pool->attempts.maximumAttempts && withdrawRetryToken(pool->retries, pending.request.key.customer, m_context.now);
+        const std::string& customer = pending.request.key.customer;
+        const bool mayTry = pool && attempt < pool->attempts.maximumAttempts;
+        retryAllowed = mayTry && withdrawRetryToken(pool->retries, customer, m_context.now);
+        if (mayTry && !retryAllowed) {
+            code = ResultCode::RetryBudgetSpent;
+            pending.retryAfter = std::max(m_options.retryAfter, timeToRetryToken(pool->retries, customer, m_context.now));
+        }
     }
     if (retryAllowed) {
         m_context.metrics.countRetry(code);
--- a/packages/daemon/src/PlainRequests.cpp
+++ b/packages/daemon/src/PlainRequests.cpp
@@ -73,6 +73,7 @@
         depositRetryTokens(pool.retries, request.customer, m_context.now);
     }
     ++request.attempts;
+    request.dispatchedAt = m_context.now;
     request.backendServer = server.description.name;
     m_register.recordAttempt(request.id, request.backendServer);
     StartTransfer transfer;
@@ -84,6 +85,7 @@
     }
     transfer.body = request.body;
     transfer.totalTimeout = pool.progress.firstToken;
+    transfer.freshConnection = request.attempts > 1; // a pooled one may have gone silent as well
     request.transfer = m_context.backendServers.start(std::move(transfer), [this, id = request.id](const ClientEvent& event) { onEnded(id, std::get<TransferEnded>(event)); });
 }
 
@@ -97,7 +99,8 @@
     if (ended.end == TransferEnd::NothingSent) {
         endAttempt(*request, AttemptEnd::ConnectFailed);
     } else if (ended.end != TransferEnd::Complete) {
-        endAttempt(*request, AttemptEnd::StreamBroken);
+        const bool isSilent = m_context.now - request->dispatchedAt >= request->pool->progress.firstToken;
+        endAttempt(*request, isSilent ? AttemptEnd::NoProgress : AttemptEnd::StreamBroken);
     } else if (findHeader(ended.headers, header::notRun)) {
         endAttempt(*request, AttemptEnd::RefusedNotRun);
     } else if (ended.status >= statusFirstServerError) {
--- a/packages/daemon/tests/AdmissionDeskTest.cpp
+++ b/packages/daemon/tests/AdmissionDeskTest.cpp
@@ -146,4 +146,29 @@
     CHECK(runStateOf(callers.commands.back()) == "may_have_run");
 }
 
+TEST_CASE_FIXTURE(NarrowLedger, "a hold that was not run is given up with its reason when no retry is left in the budget")
+{
+    upsertBackendServer(pool->view, { .name = "ledger-1", .failureDomain = "one" });
+    setBackendStatus(pool->view.servers[1], BackendStatus::Live, context.now - 1h);
+    pool->addresses.emplace("ledger-1", "10.0.0.1:8001");
+    pool->retries.customerOptions.reserve = 0;
+    hold("large", "dolly");
+    pass(50ms);
+    answer(*backendServers.take("dolly"), 503, "{}", { { .name = header::notRun, .value = "true" } });
+    pass(50ms);
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].result == ResultCode::RetryBudgetSpent);
+    CHECK(answers[0].runState == RunState::NotRun);
+    CHECK(answers[0].retryAfter.value_or(0ms) > 0ms);
+}
+
+TEST_CASE_FIXTURE(NarrowLedger, "a plain call without an answer in time counts as without progress")
+{
+    readStock("large");
+    const auto silent = backendServers.take("stock");
+    pass(pool->progress.firstToken);
+    loseAnswer(*silent);
+    CHECK(metrics.metricsText().find(R"(reason="backend_no_progress"} 1)") != std::string::npos);
+}
+
 } // namespace siskinspread
--- a/packages/daemon/tests/ModelAttemptsTest.cpp
+++ b/packages/daemon/tests/ModelAttemptsTest.cpp
@@ -83,4 +83,28 @@
     CHECK(pool->routing.instructionTokens == 128);
 }
 
+TEST_CASE_FIXTURE(DraftsFixture, "after a silent connection the next attempt takes a connection of its own")
+{
+    draft("prompt");
+    CHECK_FALSE(backendServers.open.front().transfer.freshConnection);
+    const std::string first = backendServers.open.front().transfer.url;
+    pass(pool->progress.firstToken + 1s);
+    REQUIRE(backendServers.open.size() == 1);
+    CHECK(backendServers.open.front().transfer.freshConnection);
+    CHECK(backendServers.open.front().transfer.url != first);
+    CHECK(metrics.metricsText().find(R"(reason="backend_no_progress"} 1)") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(DraftsFixture, "a server that returns gets no herd")
+{
+    setBackendStatus(pool->view.servers[2], BackendStatus::Gone, context.now);
+    setBackendStatus(pool->view.servers[2], BackendStatus::Live, context.now);
+    pool->admissionOptions.poolLimit = 30;
+    for (int i = 0; i < 30; ++i) {
+        draft("prompt " + std::to_string(i));
+    }
+    CHECK(dispatched(address(0)) + dispatched(address(1)) + dispatched(address(2)) == 30);
+    CHECK(dispatched(address(2)) <= 4); // of 16 slots in slow start
+}
+
 } // namespace siskinspread
