--- a/tests/process/AtMostOnceTest.cpp
+++ b/tests/process/AtMostOnceTest.cpp
@@ -95,6 +95,30 @@
     CHECK(runs(deployment, "hold-4") == 1);
 }
 
+TEST_CASE("a burst of holds beyond what the pool takes is refused in part, and the ledger never saw what was refused")
+{
+    Deployment deployment { { .failureDomains = 1, .hostsPerFailureDomain = 1, .engines = 0, .ledgers = 1 } };
+    prepareDelayedHolds(deployment, std::chrono::seconds { 3 });
+    constexpr size_t burst = 60;
+    std::vector<std::future<HttpResponse>> responses;
+    for (size_t i = 0; i < burst; ++i) {
+        responses.push_back(std::async(std::launch::async, [&deployment, i] { return hold(deployment, 0, "burst-" + std::to_string(i)); }));
+    }
+    size_t refused = 0;
+    for (size_t i = 0; i < burst; ++i) {
+        const HttpResponse response = responses[i].get();
+        CAPTURE(response.body);
+        if (response.status != 200) {
+            ++refused;
+            CHECK(errorOf(response).at("run_state") == "not_run");
+            CHECK(response.header("retry-after") != "");
+        }
+        CHECK(runs(deployment, "burst-" + std::to_string(i)) == (response.status == 200 ? 1 : 0));
+    }
+    CHECK(refused >= burst / 4);
+    CHECK(refused < burst);
+}
+
 TEST_CASE("the owner is killed while the call runs: the second try does not run it, and its account says may have run")
 {
     Deployment deployment { twoDomains };
