--- a/tests/process/ModelStreamTest.cpp
+++ b/tests/process/ModelStreamTest.cpp
@@ -196,6 +196,28 @@
     CHECK(broken > 0);
 }
 
+TEST_CASE("an engine whose tokens come slowly gets less work than the others")
+{
+    constexpr int requests = 18;
+    Deployment deployment { { .failureDomains = 1, .engines = 3, .engineArguments = { "--between-tokens-ms", "20" } } };
+    deployment.engine(0).setFaults(R"({"slow_factor":10})"); // the cheapest
+    const auto askAll = [&](const std::string& content, uint64_t tokens) {
+        std::vector<std::future<HttpResponse>> calls;
+        for (int i = 0; i < requests; ++i) {
+            calls.push_back(std::async(std::launch::async, [&deployment, tokens, text = content + std::to_string(i)] { return httpCall(deployment.chat(0, text, tokens)); }));
+        }
+        for (auto& call : calls) {
+            CHECK(call.get().status == 200);
+        }
+    };
+    const auto startedAt = [&](size_t engine) { return json::parse(httpCall({ .url = deployment.engine(engine).url("/control/totals") }).body).at("started").get<int>(); };
+    askAll("first ", 25);
+    const int before = startedAt(0);
+    CHECK(before >= requests / 6);
+    askAll("second ", 5);
+    CHECK(startedAt(0) - before <= requests / 6);
+}
+
 TEST_CASE("when the caller leaves, the engine's run is cancelled and the account says so")
 {
     Deployment deployment { { .failureDomains = 1, .engineArguments = { "--between-tokens-ms", "10" } } };
