--- a/tests/process/ModelStreamTest.cpp
+++ b/tests/process/ModelStreamTest.cpp
@@ -203,6 +203,7 @@
     deployment.engine(0).setFaults(R"({"slow_factor":10})"); // the cheapest
     const auto askAll = [&](const std::string& content, uint64_t tokens) {
         std::vector<std::future<HttpResponse>> calls;
+        calls.reserve(requests);
         for (int i = 0; i < requests; ++i) {
             calls.push_back(std::async(std::launch::async, [&deployment, tokens, text = content + std::to_string(i)] { return httpCall(deployment.chat(0, text, tokens)); }));
         }
