Hand over copies when their holder leaves while the store is away

Cause: owner and copy holder are of one failure domain, so a notice to the whole domain during an outage took both. Their outcomes, told as "ran" from copies, were lost, and the takeover waited for a holder that never answers again.

Ruled out (docs/design/at-most-once.md): a holder in another domain, two holders, another declaration (needs the store). Change: a host under notice that could not close its log goes on holding copies until its grace is over, then takes none any more and hands all it holds to two hosts of other domains. A takeover that does not get the seal from the declared holder asks the live hosts for what that one handed over; gone with its copies is said only when none of them has them. The asking is limited to one round in 5 s.

A domain that is announced and cut off from all others is not covered.

--- a/packages/daemon/include/siskinspread/CopyDesk.h
+++ b/packages/daemon/include/siskinspread/CopyDesk.h
@@ -10,6 +10,10 @@
 #include "siskinspread/Timers.h"
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
 
 namespace siskinspread {
 
@@ -21,7 +25,7 @@
 public:
     using SealDone = std::function<void(const LogClosingEvent&)>;
 
-    /** Registers the methods "copies" and "seal". */
+    /** Registers the methods "copies", "seal", "adopt" and "adopted". */
     CopyDesk(HostContext&, Timers&, PeerCalls&, PeerDirectory&);
 
     /** Declares a copy holder in the log as soon as a peer is known, and another one when that is lost. */
@@ -33,7 +37,28 @@
     /** Seals the copies at a holder; `done` receives CopiesSealed, CopyHolderGone or CallFailed. */
     void seal(const SealCopies&, SealDone done);
 
+    /**
+     * This host leaves: takes no copies any more, and hands over what it holds to two hosts that stay, of other failure
+     * domains where there are any. Goes on until one of them has everything. Idempotent.
+     */
+    void handOver();
+
+    /** @return whether entries of other incarnations are held that may be nowhere else. */
+    bool holdsRecords() const;
+
+    /** @return whether another host has all that this one held. */
+    bool isHandedOver() const;
+
 private:
+    using Asked = std::shared_ptr<struct AdoptedSearch>;
+
+    void offerAll();
+    void offer(const IncarnationId& to, size_t index);
+    std::vector<IncarnationId> heirs() const;
+    void searchAdopted(const SealCopies&, bool holderGone, const SealDone&);
+    void askAdopted(const IncarnationId& peer, const SealCopies&, const Asked&);
+    RpcOutcome onAdopt(const std::string& paramsJson);
+    RpcOutcome onAdopted(const std::string& paramsJson);
     RpcOutcome onCopies(const std::string& paramsJson);
     RpcOutcome onSeal(const std::string& paramsJson);
     std::optional<IncarnationId> chooseHolder() const;
@@ -44,6 +69,10 @@
     PeerDirectory& m_peers;
     const CopyHolderOptions m_options;
     CopyHolderState m_state;
+    std::vector<CopiesPart> m_offers;
+    std::map<IncarnationId, std::set<size_t>> m_taken; /**< Indexes into `m_offers` by the host that has taken them. */
+    std::set<IncarnationId> m_unwilling; /**< Hosts that refused an offer. */
+    std::map<IncarnationId, MonotonicTime> m_searchedAt; /**< By owner whose copies were not found yet. */
 };
 
 } // namespace siskinspread
--- a/packages/daemon/src/CopyDesk.cpp
+++ b/packages/daemon/src/CopyDesk.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinspread {
 
@@ -13,7 +14,13 @@
 
     constexpr const char* copiesMethod = "copies";
     constexpr const char* sealMethod = "seal";
+    constexpr const char* adoptMethod = "adopt";
+    constexpr const char* adoptedMethod = "adopted";
     constexpr std::chrono::milliseconds chooseInterval { 500 };
+    constexpr std::chrono::milliseconds offerInterval { 300 };
+    constexpr size_t heirCount = 2;
+    // All live hosts are asked, so not at each try to reach a holder; for each log that is searched for at a time.
+    constexpr std::chrono::milliseconds searchInterval { 5000 };
 
     std::string encodeRecords(const IncarnationId& owner, const std::vector<LogRecord>& records)
     {
@@ -32,6 +39,29 @@
 
 } // namespace
 
+/** One search for copies that a holder handed over. */
+struct AdoptedSearch {
+    CopyDesk::SealDone done; /**< Empty once it is called. */
+    size_t unanswered { 0 };
+    bool isConclusive { true }; /**< Every host that was asked has answered. */
+    bool holderGone { false };
+
+    void finish(const LogClosingEvent& event)
+    {
+        if (const auto call = std::exchange(done, {})) {
+            call(event);
+        }
+    }
+
+    void onNo(bool answered)
+    {
+        isConclusive = isConclusive && answered;
+        if (--unanswered == 0) {
+            finish(holderGone && isConclusive ? LogClosingEvent { CopyHolderGone {} } : LogClosingEvent { CallFailed {} });
+        }
+    }
+};
+
 CopyDesk::CopyDesk(HostContext& context, Timers& timers, PeerCalls& calls, PeerDirectory& peers)
     : m_context(context)
     , m_timers(timers)
@@ -41,6 +71,8 @@
     m_state.self = context.incarnation;
     m_calls.methods().registerMethod(copiesMethod, [this](const std::string& params) { return onCopies(params); });
     m_calls.methods().registerMethod(sealMethod, [this](const std::string& params) { return onSeal(params); });
+    m_calls.methods().registerMethod(adoptMethod, [this](const std::string& params) { return onAdopt(params); });
+    m_calls.methods().registerMethod(adoptedMethod, [this](const std::string& params) { return onAdopted(params); });
 }
 
 // A domain that is cut off goes on only if the holder is inside it, so a peer of the own failure domain comes first.
@@ -106,14 +138,14 @@
         done(CopiesSealed { .records = records.value_or(std::vector<LogRecord> {}) });
         return;
     }
-    m_calls.call(hostOf(action.holder), sealMethod, params.dump(), [done = std::move(done)](const RpcOutcome& outcome) {
+    m_calls.call(hostOf(action.holder), sealMethod, params.dump(), [this, action, done = std::move(done)](const RpcOutcome& outcome) {
         const auto result = nlohmann::json::parse(outcome.resultJson, nullptr, false);
         if (!outcome.ok() || !result.is_object()) {
-            done(CallFailed {});
+            searchAdopted(action, false, done);
             return;
         }
         if (result.value("gone", false)) {
-            done(CopyHolderGone {});
+            searchAdopted(action, true, done);
             return;
         }
         auto records = decodeRecords(result.value("records", ""));
@@ -125,6 +157,143 @@
     });
 }
 
+void CopyDesk::handOver()
+{
+    if (m_state.leaving) {
+        return;
+    }
+    std::vector<CopyHolderAction> actions;
+    step(m_state, m_options, HandOverDue {}, actions);
+    for (const CopyHolderAction& action : actions) {
+        m_offers.push_back(std::get<OfferPart>(action).part);
+    }
+    offerAll();
+}
+
+bool CopyDesk::holdsRecords() const
+{
+    const bool isOwnersKeeper = std::any_of(m_state.owners.begin(), m_state.owners.end(), [](const auto& owner) { return !owner.second.records.empty(); });
+    return isOwnersKeeper || !m_state.adopted.empty();
+}
+
+bool CopyDesk::isHandedOver() const
+{
+    return m_state.leaving && std::any_of(m_taken.begin(), m_taken.end(), [this](const auto& taken) { return taken.second.size() == m_offers.size(); });
+}
+
+/** Hosts of other failure domains first: the own one may be leaving as a whole. */
+std::vector<IncarnationId> CopyDesk::heirs() const
+{
+    auto candidates = m_peers.live();
+    std::erase_if(candidates, [this](const auto& candidate) { return candidate.incarnation == m_context.incarnation || m_unwilling.contains(candidate.incarnation); });
+    std::stable_partition(candidates.begin(), candidates.end(), [this](const auto& candidate) { return candidate.failureDomain != m_context.settings.host().failure_domain(); });
+    std::vector<IncarnationId> chosen;
+    for (size_t index = 0; index < std::min(candidates.size(), heirCount); ++index) {
+        chosen.push_back(candidates[index].incarnation);
+    }
+    return chosen;
+}
+
+void CopyDesk::offerAll()
+{
+    for (const IncarnationId& heir : heirs()) {
+        for (size_t index = 0; index < m_offers.size(); ++index) {
+            if (!m_taken[heir].contains(index)) {
+                offer(heir, index);
+            }
+        }
+    }
+    m_timers.schedule(m_context.now + offerInterval, [this] { offerAll(); });
+}
+
+void CopyDesk::offer(const IncarnationId& to, size_t index)
+{
+    const CopiesPart& part = m_offers[index];
+    const nlohmann::json params {
+        { "holder", part.holder.text },
+        { "number", part.number },
+        { "parts", part.parts },
+        { "owner", part.owner.text },
+        { "records", encodeRecords(part.owner, part.records) },
+    };
+    m_calls.call(hostOf(to), adoptMethod, params.dump(), [this, to, index](const RpcOutcome& outcome) {
+        const auto taken = nlohmann::json::parse(outcome.resultJson, nullptr, false);
+        if (!outcome.ok() || !taken.is_boolean()) {
+            return; // offered again
+        }
+        if (taken.get<bool>()) {
+            m_taken[to].insert(index);
+        } else {
+            m_unwilling.insert(to);
+        }
+    });
+}
+
+void CopyDesk::searchAdopted(const SealCopies& action, bool holderGone, const SealDone& done)
+{
+    const auto last = m_searchedAt.find(action.incarnation);
+    if (last != m_searchedAt.end() && m_context.now < last->second + searchInterval * m_searchedAt.size()) {
+        done(CallFailed {});
+        return;
+    }
+    m_searchedAt[action.incarnation] = m_context.now;
+    const auto ended = [this, owner = action.incarnation, done](const LogClosingEvent& event) {
+        if (!std::holds_alternative<CallFailed>(event)) {
+            m_searchedAt.erase(owner);
+        }
+        done(event);
+    };
+    const auto peers = m_peers.live();
+    const auto search = std::make_shared<AdoptedSearch>(AdoptedSearch { .done = ended, .unanswered = peers.size(), .holderGone = holderGone });
+    for (const auto& peer : peers) {
+        askAdopted(peer.incarnation, action, search);
+    }
+}
+
+void CopyDesk::askAdopted(const IncarnationId& peer, const SealCopies& action, const Asked& search)
+{
+    const auto answered = [search](const RpcOutcome& outcome) {
+        const auto result = nlohmann::json::parse(outcome.resultJson, nullptr, false);
+        auto records = outcome.ok() && result.is_string() ? decodeRecords(result.get<std::string>()) : std::nullopt;
+        if (records) {
+            search->finish(CopiesSealed { .records = std::move(*records) });
+        }
+        search->onNo(outcome.ok() && result.is_null());
+    };
+    const std::string params = nlohmann::json { { "owner", action.incarnation.text }, { "holder", action.holder.text } }.dump();
+    if (peer == m_context.incarnation) {
+        answered(onAdopted(params));
+    } else {
+        m_calls.call(hostOf(peer), adoptedMethod, params, answered);
+    }
+}
+
+RpcOutcome CopyDesk::onAdopt(const std::string& paramsJson)
+{
+    const auto params = nlohmann::json::parse(paramsJson, nullptr, false);
+    auto records = params.is_object() ? decodeRecords(params.value("records", "")) : std::nullopt;
+    if (!records) {
+        return rpcFailure(rpc_error::invalidParams, "adopt takes holder, number, parts, owner and records");
+    }
+    CopiesPart part { .holder = { params.value("holder", "") }, .number = params.value("number", size_t { 0 }), .parts = params.value("parts", size_t { 0 }), .owner = { params.value("owner", "") }, .records = std::move(*records) };
+    std::vector<CopyHolderAction> actions;
+    step(m_state, m_options, PartOffered { .part = std::move(part) }, actions);
+    return nlohmann::json(std::get<AnswerOffer>(actions.front()).taken).dump();
+}
+
+RpcOutcome CopyDesk::onAdopted(const std::string& paramsJson)
+{
+    const auto params = nlohmann::json::parse(paramsJson, nullptr, false);
+    if (!params.is_object()) {
+        return rpcFailure(rpc_error::invalidParams, "adopted takes owner and holder");
+    }
+    const IncarnationId owner { params.value("owner", "") };
+    std::vector<CopyHolderAction> actions;
+    step(m_state, m_options, AdoptedRequested { .owner = owner, .holder = { params.value("holder", "") } }, actions);
+    const auto& records = std::get<ReturnAdopted>(actions.front()).records;
+    return records ? nlohmann::json(encodeRecords(owner, *records)).dump() : nlohmann::json(nullptr).dump();
+}
+
 RpcOutcome CopyDesk::onCopies(const std::string& paramsJson)
 {
     const auto params = nlohmann::json::parse(paramsJson, nullptr, false);
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -199,13 +199,27 @@
         }
         if (!m_closingBegan && (!openRequests() || (m_stop.isGraceOver() && !m_handovers.isBusy()))) {
             m_closingBegan = true;
-            m_closingEnds = m_context.now + closingTime;
+            m_closingBeganAt = m_context.now;
             m_leaveAt = m_context.now + lastWriteTime;
             m_desk.expireAll();
             m_keyed.expireRelays();
             m_writer.close();
             m_membership.leave();
         }
+        if (!m_closingBegan) {
+            return;
+        }
+        planClosing();
+        if ((m_writer.hasEnded() ? m_copies.holdsRecords() : m_context.now >= m_handOverAt)) {
+            m_copies.handOver();
+        }
+    }
+
+    /** While the store is away this host goes on holding copies for the owners of its domain as long as its notice allows. */
+    void planClosing()
+    {
+        m_handOverAt = copiesHandOver(m_stop.plan(), m_closingBeganAt);
+        m_closingEnds = m_handOverAt + closingTime / 2;
     }
 
     size_t openRequests() const
@@ -241,7 +255,8 @@
         if (!m_closingBegan) {
             return false;
         }
-        const bool isClosed = m_writer.hasEnded() && !m_callers.hasWaiting() && !m_peerCallers.hasWaiting() && m_context.now >= m_leaveAt;
+        const bool isHandedOver = !m_copies.holdsRecords() || m_copies.isHandedOver();
+        const bool isClosed = m_writer.hasEnded() && isHandedOver && !m_callers.hasWaiting() && !m_peerCallers.hasWaiting() && m_context.now >= m_leaveAt;
         return isClosed || m_context.now >= m_closingEnds;
     }
 
@@ -326,6 +341,8 @@
     DrainRoute m_drain { m_context, m_stop };
     NoticeReader m_notices { m_context, { .timers = m_timers, .calls = m_peerCalls, .domainHosts = [this] { return domainHosts(); }, .onOwnNotice = [this](MonotonicTime endsAt) { m_stop.noticeReclaim(endsAt); }, .onNotice = [this](const std::string& host, MonotonicTime) { m_backendStatus.leaveSign(host); } },
         { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
+    MonotonicTime m_closingBeganAt {};
+    MonotonicTime m_handOverAt {};
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
     bool m_closingBegan { false };
--- a/packages/decisions/include/siskinspread/CopyHolder.h
+++ b/packages/decisions/include/siskinspread/CopyHolder.h
@@ -10,6 +10,7 @@
 
 struct CopyHolderOptions {
     size_t maxBytes { size_t { 32 } * 1024 * 1024 }; /**< For all owners together. */
+    size_t maxPartBytes { size_t { 256 } * 1024 }; /**< Of one message in which copies are handed over. */
 };
 
 /** What is held for one incarnation. */
@@ -18,10 +19,21 @@
     bool sealed { false };
 };
 
+/** One message of all that a holder hands over when it leaves. */
+struct CopiesPart {
+    IncarnationId holder; /**< That leaves. */
+    size_t number { 0 }; /**< Counted from 1. */
+    size_t parts { 0 };
+    IncarnationId owner; /**< Of the records; empty in the one part of a holder that holds nothing. */
+    std::vector<LogRecord> records;
+};
+
 struct CopyHolderState {
     IncarnationId self;
     std::map<IncarnationId, HeldCopies> owners;
+    std::map<IncarnationId, std::map<size_t, CopiesPart>> adopted; /**< By the holder that left, then by number. */
     size_t bytes { 0 };
+    bool leaving { false }; /**< Nothing is taken any more. */
 };
 
 /** Copies arrived. The owner sends all its unacknowledged copied entries in order, so the last one bounds what is held. */
@@ -42,7 +54,19 @@
     IncarnationId owner;
 };
 
-using CopyHolderEvent = std::variant<CopiesArrived, SealRequested, SealedCopyStored>;
+/** This host leaves, and what it holds may be nowhere else: everything is sealed and offered to hosts that stay. */
+struct HandOverDue { };
+/** A holder that leaves offers a part of what it holds. Repeated until it is taken. */
+struct PartOffered {
+    CopiesPart part;
+};
+/** A host that does not get the seal from the declared holder looks for what that one handed over. */
+struct AdoptedRequested {
+    IncarnationId owner;
+    IncarnationId holder;
+};
+
+using CopyHolderEvent = std::variant<CopiesArrived, SealRequested, SealedCopyStored, HandOverDue, PartOffered, AdoptedRequested>;
 
 struct AcknowledgeCopies {
     IncarnationId owner;
@@ -63,7 +87,19 @@
     IncarnationId owner;
 };
 
-using CopyHolderAction = std::variant<AcknowledgeCopies, RefuseCopies, ReturnSealedCopies, AddresseeGone>;
+/** Hand the part over to a host that stays. */
+struct OfferPart {
+    CopiesPart part;
+};
+struct AnswerOffer {
+    bool taken { false };
+};
+/** Answer to AdoptedRequested: all that the holder held of the owner; without a value when this host does not have all parts. */
+struct ReturnAdopted {
+    std::optional<std::vector<LogRecord>> records;
+};
+
+using CopyHolderAction = std::variant<AcknowledgeCopies, RefuseCopies, ReturnSealedCopies, AddresseeGone, OfferPart, AnswerOffer, ReturnAdopted>;
 
 /**
  * Advances the holder by one event. Arrivals and seals may be repeated and reordered.
--- a/packages/decisions/include/siskinspread/DrainPlan.h
+++ b/packages/decisions/include/siskinspread/DrainPlan.h
@@ -51,6 +51,12 @@
  */
 std::chrono::milliseconds handoverTime(const DrainPlan& plan, const DrainOptions& options, MonotonicTime now);
 
+/**
+ * @return when a host that could not close its log hands over the copies that it holds for others: soon after the grace
+ * where a notice tells the host's end, else when the store had time to answer. Precondition: the stop has begun. Reentrant.
+ */
+MonotonicTime copiesHandOver(const DrainPlan& plan, MonotonicTime closingBegan);
+
 /**
  * @return how long the host of a notice has left. Clocks may differ: never more than the lead, counted from now, and
  * never below zero. Thread safety: reentrant.
--- a/packages/decisions/src/CopyHolder.cpp
+++ b/packages/decisions/src/CopyHolder.cpp
@@ -21,9 +21,35 @@
         }
     }
 
+    /** @return all that is held, the records of one owner in parts of a bounded size. */
+    std::vector<CopiesPart> partsOf(const CopyHolderState& state, const CopyHolderOptions& options)
+    {
+        std::vector<CopiesPart> parts;
+        for (const auto& [owner, held] : state.owners) {
+            size_t bytes = options.maxPartBytes;
+            for (const auto& [position, record] : held.records) {
+                const size_t recordBytes = encodedSize(record.entry);
+                if (bytes + recordBytes > options.maxPartBytes) {
+                    parts.push_back({ .holder = state.self, .owner = owner, .records = {} });
+                    bytes = 0;
+                }
+                bytes += recordBytes;
+                parts.back().records.push_back(record);
+            }
+        }
+        if (parts.empty()) {
+            parts.push_back({ .holder = state.self, .owner = {}, .records = {} });
+        }
+        for (size_t index = 0; index < parts.size(); ++index) {
+            parts[index].number = index + 1;
+            parts[index].parts = parts.size();
+        }
+        return parts;
+    }
+
     void on(CopyHolderState& state, const CopyHolderOptions& options, const CopiesArrived& event, std::vector<CopyHolderAction>& actions)
     {
-        if (event.addressee != state.self) {
+        if (event.addressee != state.self || state.leaving) {
             actions.emplace_back(RefuseCopies { .owner = event.owner, .permanent = true });
             return;
         }
@@ -73,6 +99,48 @@
         dropUpTo(state, held->second, UINT64_MAX);
     }
 
+    void on(CopyHolderState& state, const CopyHolderOptions& options, const HandOverDue& /*event*/, std::vector<CopyHolderAction>& actions)
+    {
+        // From here on nothing is acknowledged, so the parts are final and may answer for this host when it is gone.
+        state.leaving = true;
+        for (const CopiesPart& part : partsOf(state, options)) {
+            actions.emplace_back(OfferPart { .part = part });
+        }
+        for (const auto& [holder, parts] : state.adopted) {
+            for (const auto& [number, part] : parts) {
+                actions.emplace_back(OfferPart { .part = part });
+            }
+        }
+    }
+
+    void on(CopyHolderState& state, const CopyHolderOptions& options, const PartOffered& event, std::vector<CopyHolderAction>& actions)
+    {
+        auto& parts = state.adopted[event.part.holder];
+        const size_t bytes = bytesOf(event.part.records);
+        const bool isKnown = parts.contains(event.part.number);
+        const bool taken = !state.leaving && (isKnown || state.bytes + bytes <= options.maxBytes);
+        if (taken && !isKnown) {
+            parts.emplace(event.part.number, event.part);
+            state.bytes += bytes;
+        }
+        actions.emplace_back(AnswerOffer { .taken = taken });
+    }
+
+    void on(CopyHolderState& state, const CopyHolderOptions& /*options*/, const AdoptedRequested& event, std::vector<CopyHolderAction>& actions)
+    {
+        ReturnAdopted answer;
+        const auto adopted = state.adopted.find(event.holder);
+        if (adopted != state.adopted.end() && !adopted->second.empty() && adopted->second.size() == adopted->second.begin()->second.parts) {
+            answer.records.emplace();
+            for (const auto& [number, part] : adopted->second) {
+                if (part.owner == event.owner) {
+                    answer.records->insert(answer.records->end(), part.records.begin(), part.records.end());
+                }
+            }
+        }
+        actions.emplace_back(std::move(answer));
+    }
+
 } // namespace
 
 void step(CopyHolderState& state, const CopyHolderOptions& options, const CopyHolderEvent& event, std::vector<CopyHolderAction>& actions)
--- a/packages/decisions/src/DrainPlan.cpp
+++ b/packages/decisions/src/DrainPlan.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+    // For the last entries of owners whose grace ends at the same time.
+    constexpr std::chrono::seconds longestWaitForOwners { 1 };
+    constexpr std::chrono::milliseconds waitForStore { 2'500 };
+
     bool moveEarlier(std::optional<MonotonicTime>& end, MonotonicTime candidate)
     {
         if (end && *end <= candidate) {
@@ -50,6 +54,15 @@
     return std::clamp(left, std::chrono::milliseconds { 0 }, options.handover);
 }
 
+MonotonicTime copiesHandOver(const DrainPlan& plan, MonotonicTime closingBegan)
+{
+    if (!plan.hostEnds) {
+        return closingBegan + waitForStore;
+    }
+    const MonotonicTime::duration margin = std::max(*plan.hostEnds - *plan.graceEnds, MonotonicTime::duration::zero());
+    return std::max(closingBegan, *plan.graceEnds + std::min<MonotonicTime::duration>(margin / 4, longestWaitForOwners));
+}
+
 std::chrono::milliseconds timeLeft(const ReclaimNotice& notice, WallTime now)
 {
     const auto byTheirClock = std::chrono::duration_cast<std::chrono::milliseconds>(notice.at + notice.lead - now);
--- a/packages/decisions/tests/AtMostOnceModel.cpp
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -148,6 +148,12 @@
     case 36:
         endFailureDomain(step.second % m_options.slices.sliceCount);
         break;
+    case 44:
+    case 45:
+    case 46:
+    case 47:
+        endAnnouncedDomain(step.second % m_options.slices.sliceCount);
+        break;
     case 37:
     case 38:
         requestDuringTakeover(step.second % keyCount);
--- a/packages/decisions/tests/AtMostOnceModel.h
+++ b/packages/decisions/tests/AtMostOnceModel.h
@@ -38,6 +38,8 @@
     size_t attemptsUnknown { 0 }; /**< Final accounts of requests that ran and whose outcome is not on record. */
     size_t ownerAndHolderLost { 0 }; /**< Both ended at once while no host reached the store, with an open intent that only they had. */
     size_t domainLost { 0 }; /**< The same, by the end of their whole failure domain. */
+    size_t domainAnnounced { 0 }; /**< As domainLost, after its hosts had handed over the copies that they held. */
+    size_t sealedFromAdopted { 0 }; /**< A seal that the lost holder's heir answered, with entries. */
     size_t ranBeforeLoss { 0 }; /**< Such an intent whose request had run. */
     size_t triedAfterLoss { 0 }; /**< A later try of such a key that an owner of its slice answered. */
     size_t accountsAfterLoss { 0 }; /**< A final account of the request that held such a key. */
@@ -122,6 +124,9 @@
     void setStoreAway(bool away);
     void endOwnerAndHolder(uint32_t slice);
     void endFailureDomain(uint32_t slice);
+    void endAnnouncedDomain(uint32_t slice);
+    void handOverCopies(Ref node, Ref heir);
+    std::optional<std::vector<LogRecord>> adoptedCopies(Ref asker, const SealCopies& action);
     void endTogether(const std::set<size_t>& hosts, uint32_t slice, size_t& counter);
     void requestLostKey(size_t index);
     void tryLostKeys();
--- a/packages/decisions/tests/AtMostOnceModelLoss.cpp
+++ b/packages/decisions/tests/AtMostOnceModelLoss.cpp
@@ -34,6 +34,55 @@
     }
 }
 
+/** The hosts of the owner's domain hold copies of its entries, have time to hand them over, and end. */
+void AtMostOnceModel::endAnnouncedDomain(uint32_t slice)
+{
+    const Ref owner = find(m_map.slices[slice].owner);
+    const Ref neighbour = owner == m_nodes.end() ? owner : m_hosts[owner->host ^ 1U];
+    if (owner == m_nodes.end() || !owner->alive || neighbour->holder.owners[owner->log.self].records.empty()) {
+        return;
+    }
+    for (const size_t host : { owner->host, owner->host ^ 1U }) {
+        handOverCopies(m_hosts[host], m_hosts[host ^ 2U]);
+    }
+    ++m_coverage.domainAnnounced;
+    setStoreAway(true);
+    for (const size_t host : { owner->host, owner->host ^ 1U }) {
+        m_hosts[host]->alive = false;
+    }
+}
+
+void AtMostOnceModel::handOverCopies(Ref node, Ref heir)
+{
+    if (!node->alive || node->paused || !heir->alive || heir->paused) {
+        return;
+    }
+    std::vector<CopyHolderAction> offers;
+    step(node->holder, {}, HandOverDue {}, offers);
+    for (const CopyHolderAction& offer : offers) {
+        std::vector<CopyHolderAction> answers;
+        step(heir->holder, {}, PartOffered { .part = std::get<OfferPart>(offer).part }, answers);
+    }
+}
+
+/** Asks all hosts that can be reached now. */
+std::optional<std::vector<LogRecord>> AtMostOnceModel::adoptedCopies(Ref asker, const SealCopies& action)
+{
+    for (const Ref host : m_hosts) {
+        if (!host->alive || host->paused || m_peerCut.contains(std::minmax(asker->host, host->host))) {
+            continue;
+        }
+        std::vector<CopyHolderAction> answers;
+        step(host->holder, {}, AdoptedRequested { .owner = action.incarnation, .holder = action.holder }, answers);
+        const auto& records = std::get<ReturnAdopted>(answers.front()).records;
+        if (records) {
+            m_coverage.sealedFromAdopted += records->empty() ? 0 : 1;
+            return records;
+        }
+    }
+    return std::nullopt;
+}
+
 void AtMostOnceModel::endTogether(const std::set<size_t>& hosts, uint32_t slice, size_t& counter)
 {
     setStoreAway(true);
--- a/packages/decisions/tests/AtMostOnceModelStore.cpp
+++ b/packages/decisions/tests/AtMostOnceModelStore.cpp
@@ -91,7 +91,11 @@
     const IncarnationId owner = action.incarnation;
     const Ref holder = find(action.holder);
     const Ref target = m_hosts[holder->host];
-    const auto failed = [this, node, owner, holder] {
+    const auto failed = [this, node, owner, holder, action] {
+        if (const auto adopted = adoptedCopies(node, action)) {
+            closingEvent(node, owner, CopiesSealed { .records = *adopted });
+            return;
+        }
         // The cloud API says that a host has ended only when it has.
         const bool known = !holder->alive && m_choice % 2;
         closingEvent(node, owner, known ? LogClosingEvent { CopyHolderGone {} } : LogClosingEvent { CallFailed {} });
@@ -99,10 +103,14 @@
     const auto atHolder = [this, node, target, action, owner, failed] {
         std::vector<CopyHolderAction> actions;
         step(target->holder, {}, SealRequested { .owner = owner, .addressee = action.holder, .by = node->log.self }, actions);
-        LogClosingEvent event = CopyHolderGone {};
+        auto records = adoptedCopies(node, action);
         if (const auto* returned = std::get_if<ReturnSealedCopies>(&actions.back())) {
             m_coverage.sealedWithCopies += returned->records.empty() ? 0 : 1;
-            event = CopiesSealed { .records = returned->records };
+            records = returned->records;
+        }
+        LogClosingEvent event = CopyHolderGone {};
+        if (records) {
+            event = CopiesSealed { .records = std::move(*records) };
         }
         toPeer(
             target, node, [this, node, owner, event] { closingEvent(node, owner, event); }, [this, node, owner] { closingEvent(node, owner, CallFailed {}); });
--- a/packages/decisions/tests/DrainPlanTest.cpp
+++ b/packages/decisions/tests/DrainPlanTest.cpp
@@ -86,6 +86,18 @@
     CHECK(handoverTime(plan, options, start + 61s) == 0ms);
 }
 
+TEST_CASE("copies are handed over soon after the grace of a notice, and when the store had its time without one")
+{
+    DrainPlan plan;
+    planStop(plan, options, start);
+    CHECK(copiesHandOver(plan, start) == start + 2500ms);
+    planReclaim(plan, options, start + 60s, start);
+    CHECK(copiesHandOver(plan, start) == *plan.graceEnds + 1s);
+    planReclaim(plan, options, start + 2s, start);
+    CHECK(copiesHandOver(plan, start) == start + 1250ms);
+    CHECK(copiesHandOver(plan, start + 1500ms) == start + 1500ms);
+}
+
 TEST_CASE("the time left of a notice is never more than its lead, whatever the clocks say")
 {
     const WallTime given { 1000000s };
--- a/tests/process/DrainTest.cpp
+++ b/tests/process/DrainTest.cpp
@@ -198,6 +198,27 @@
     }
 }
 
+TEST_CASE("a notice to a whole failure domain while the store is away: every hold is answered, and its record outlives the domain")
+{
+    Deployment deployment { withCloud };
+    waitForCopyHolders(deployment);
+    prepareDelayedHolds(deployment);
+    OpenHolds open { deployment, { 0, 2 }, 3, 1 };
+    deployment.objectApi().setFaults(R"({"down":true})");
+    const auto hostsEnd = std::chrono::steady_clock::now() + std::chrono::seconds { 15 };
+    deployment.giveNotice({ { "failure_domain", deployment.host(0).failureDomain }, { "seconds", 15 } });
+    for (auto& response : open.responses) {
+        CHECK(response.get().status == 200);
+    }
+    endHost(deployment.host(0), hostsEnd);
+    endHost(deployment.host(2), hostsEnd);
+    deployment.objectApi().setFaults(R"({"down":false})");
+    endDelay(deployment);
+    for (const std::string& key : open.keys) {
+        checkOneTrueAccount(deployment, 1, key, { .status = 200 });
+    }
+}
+
 TEST_CASE("a notice to a whole failure domain with too little time: one true final account each, and nothing runs again")
 {
     Deployment deployment { withCloud };
