Look accounts up by key in the at-most-once model

The model looked accounts up by id only. Each key is now looked up at the end and in between, the owner of its slice first and then the earlier ones, newest first, as the daemon does: a final account says "ran" of the request that ran and of no other, never "not run" of it, and a key that ran is never unknown while a part of its history may be lost.

--- a/packages/decisions/tests/AtMostOnceModel.cpp
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -122,6 +122,7 @@
         break;
     case 25:
         if (!m_told.empty()) {
+            lookUpKey(m_told.begin()->second.key);
             lookUp(std::next(m_told.begin(), static_cast<std::ptrdiff_t>(step.second % m_told.size()))->first);
         }
         break;
--- a/packages/decisions/tests/AtMostOnceModel.h
+++ b/packages/decisions/tests/AtMostOnceModel.h
@@ -35,6 +35,7 @@
     size_t logLostAlive { 0 };
     size_t ranAfterLogClosed { 0 };
     size_t finalLookups { 0 };
+    size_t finalKeyLookups { 0 };
     size_t attemptsUnknown { 0 }; /**< Final accounts of requests that ran and whose outcome is not on record. */
     size_t ownerAndHolderLost { 0 }; /**< Both ended at once while no host reached the store, with an open intent that only they had. */
     size_t domainLost { 0 }; /**< The same, by the end of their whole failure domain. */
@@ -155,7 +156,9 @@
     void mapRead(Ref node, uint32_t slice, const SliceMap& map, uint64_t version);
     bool historyLoaded(Ref node, const IncarnationId& incarnation);
     void lookUp(const RequestId& request);
-    AccountAnswer accountOf(const RequestId& request);
+    void lookUpKey(const IdempotencyKey& key);
+    AccountAnswer accountOf(const AccountQuery& query, const std::vector<IncarnationId>& candidates);
+    AccountLookupEvent askIncarnation(const AskIncarnation& ask);
     void checkWhereItRan(const RequestId& request, const AccountAnswer& answer);
     std::optional<RequestId> accountIdOf(const RequestId& request) const;
     void drain();
--- a/packages/decisions/tests/AtMostOnceModelEnd.cpp
+++ b/packages/decisions/tests/AtMostOnceModelEnd.cpp
@@ -88,12 +88,17 @@
     for (Node& node : m_nodes) {
         node.alive = false;
     }
+    std::set<IdempotencyKey> keys;
     for (auto& [request, told] : m_told) {
+        keys.insert(told.key);
         lookUp(request);
         if (!told.account && accountIdOf(request)) {
             violate("d: no account of " + formatRequestId(request));
         }
     }
+    for (const IdempotencyKey& key : keys) {
+        lookUpKey(key);
+    }
 }
 
 /** The id that a caller would ask with; a try that was not answered has its own. */
@@ -104,19 +109,17 @@
     return answer ? parseAccountId(answer->id, reason) : std::optional { request };
 }
 
-AccountAnswer AtMostOnceModel::accountOf(const RequestId& request)
+AccountAnswer AtMostOnceModel::accountOf(const AccountQuery& query, const std::vector<IncarnationId>& candidates)
 {
-    const Ref asked = find(request.incarnation);
-    const bool reachable = asked->alive && !asked->paused;
     AccountLookupState lookup;
     std::vector<AccountLookupAction> actions;
-    step(lookup, {}, StartLookup { .query = { .request = request, .key = {} }, .candidates = {} }, now(), actions);
+    step(lookup, {}, StartLookup { .query = query, .candidates = candidates }, now(), actions);
     while (!std::holds_alternative<LookupDone>(actions.back())) {
         const AccountLookupAction action = actions.back();
         actions.clear();
-        AccountLookupEvent event = IncarnationSilent { .incarnation = request.incarnation };
-        if (const auto* ask = std::get_if<AskIncarnation>(&action); ask && reachable) {
-            event = IncarnationAnswered { .incarnation = ask->incarnation, .answer = accountFromOwner(asked->owner, ask->query) };
+        AccountLookupEvent event;
+        if (const auto* ask = std::get_if<AskIncarnation>(&action)) {
+            event = askIncarnation(*ask);
         } else if (const auto* read = std::get_if<ReadBatch>(&action)) {
             const auto found = m_batches.find({ read->incarnation, read->number });
             event = LookupRead { BatchFound { .number = read->number, .batch = found == m_batches.end() ? std::nullopt : std::optional(found->second) } };
@@ -129,6 +132,40 @@
     return std::get<LookupDone>(actions.back()).answer;
 }
 
+AccountLookupEvent AtMostOnceModel::askIncarnation(const AskIncarnation& ask)
+{
+    const Ref asked = find(ask.incarnation);
+    if (!asked->alive || asked->paused) {
+        return IncarnationSilent { .incarnation = ask.incarnation };
+    }
+    return IncarnationAnswered { .incarnation = ask.incarnation, .answer = accountFromOwner(asked->owner, ask.query) };
+}
+
+/** The key's account never says the opposite of what its request did, and names that request. */
+void AtMostOnceModel::lookUpKey(const IdempotencyKey& key)
+{
+    const SliceAssignment& slice = m_map.slices[sliceOf(key, m_options.slices)];
+    std::vector<IncarnationId> candidates { slice.owner };
+    for (auto previous = slice.previous.rbegin(); previous != slice.previous.rend(); ++previous) {
+        candidates.push_back(previous->incarnation);
+    }
+    const AccountAnswer answer = accountOf({ .request = {}, .key = key }, candidates);
+    const auto effect = m_effects.find(key);
+    const RunState told = answer.account.runState;
+    if (answer.standing == AccountStanding::Final) {
+        ++m_coverage.finalKeyLookups;
+        if (told == RunState::Ran && (effect == m_effects.end() || effect->second != answer.request)) {
+            violate("h: the account of " + key.text + " says ran of " + formatRequestId(answer.request));
+        }
+        if (told == RunState::NotRun && effect != m_effects.end() && effect->second == answer.request) {
+            violate("h: the account of " + key.text + " says not run");
+        }
+    }
+    if (answer.standing == AccountStanding::NotFound && effect != m_effects.end()) {
+        violate("h: no account of " + key.text + ", which ran");
+    }
+}
+
 /** No figure that is not known, and the backend server that ran the request is among those to ask. */
 void AtMostOnceModel::checkWhereItRan(const RequestId& request, const AccountAnswer& answer)
 {
@@ -157,7 +194,7 @@
         }
         return;
     }
-    const AccountAnswer answer = accountOf(*of);
+    const AccountAnswer answer = accountOf({ .request = *of, .key = {} }, {});
     const bool ran = m_told.at(*of).ran;
     const bool toldRan = about.answer && about.answer->runState == RunState::Ran;
     const bool historyLost = m_copied.contains(*of) && m_sealed.contains(of->incarnation) && !m_sealed[of->incarnation].complete;
--- a/packages/decisions/tests/AtMostOnceModelTest.cpp
+++ b/packages/decisions/tests/AtMostOnceModelTest.cpp
@@ -61,11 +61,11 @@
         ", owner and holder lost ", coverage.ownerAndHolderLost, ", domain lost ", coverage.domainLost, ", domain announced ", coverage.domainAnnounced, ", sealed from adopted ", coverage.sealedFromAdopted, ", ran before the loss ", coverage.ranBeforeLoss,
         ", tried after the loss ", coverage.triedAfterLoss, ", accounts after the loss ", coverage.accountsAfterLoss,
         ", tried during takeover ", coverage.triedDuringTakeover, ", superseded answers ", coverage.supersededAnswers,
-        ", replays accounted ", coverage.replaysAccounted, ", attempts unknown ", coverage.attemptsUnknown);
+        ", replays accounted ", coverage.replaysAccounted, ", final lookups by key ", coverage.finalKeyLookups, ", attempts unknown ", coverage.attemptsUnknown);
     for (const size_t reached : { coverage.ran, coverage.replayed, coverage.unknown, coverage.notRun, coverage.takenOver, coverage.durableByCopy,
              coverage.sealedWithCopies, coverage.historyLost, coverage.logLostAlive, coverage.ranAfterLogClosed, coverage.finalLookups,
              coverage.ownerAndHolderLost, coverage.domainLost, coverage.domainAnnounced, coverage.sealedFromAdopted, coverage.ranBeforeLoss, coverage.triedAfterLoss, coverage.accountsAfterLoss,
-             coverage.triedDuringTakeover, coverage.supersededAnswers, coverage.replaysAccounted, coverage.attemptsUnknown }) {
+             coverage.triedDuringTakeover, coverage.supersededAnswers, coverage.replaysAccounted, coverage.attemptsUnknown, coverage.finalKeyLookups }) {
         CHECK(reached > 0);
     }
 }
