--- a/packages/daemon/include/siskinspread/CopyDesk.h
+++ b/packages/daemon/include/siskinspread/CopyDesk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/CopyHandover.h"
 #include "siskinspread/CopyHolder.h"
 #include "siskinspread/HostContext.h"
 #include "siskinspread/IncarnationLog.h"
@@ -12,8 +13,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
-#include <vector>
 
 namespace siskinspread {
 
@@ -47,14 +46,11 @@
     bool holdsRecords() const;
 
     /** @return whether another host has all that this one held. */
-    bool isHandedOver() const;
+    bool isHandedOver() const { return m_handover.isDone(); }
 
 private:
     using Asked = std::shared_ptr<struct AdoptedSearch>;
 
-    void offerAll();
-    void offer(const IncarnationId& to, size_t index);
-    std::vector<IncarnationId> heirs() const;
     void searchAdopted(const SealCopies&, bool holderGone, const SealDone&);
     void askAdopted(const IncarnationId& peer, const SealCopies&, const Asked&);
     RpcOutcome onAdopt(const std::string& paramsJson);
@@ -69,9 +65,7 @@
     PeerDirectory& m_peers;
     const CopyHolderOptions m_options;
     CopyHolderState m_state;
-    std::vector<CopiesPart> m_offers;
-    std::map<IncarnationId, std::set<size_t>> m_taken; /**< Indexes into `m_offers` by the host that has taken them. */
-    std::set<IncarnationId> m_unwilling; /**< Hosts that refused an offer. */
+    CopyHandover m_handover;
     std::map<IncarnationId, MonotonicTime> m_searchedAt; /**< By owner whose copies were not found yet. */
 };
 
--- a/packages/daemon/src/CopyDesk.cpp
+++ b/packages/daemon/src/CopyDesk.cpp
@@ -1,7 +1,6 @@
 #include "siskinspread/CopyDesk.h"
 
-#include "siskinspread/Hex.h"
-#include "siskinspread/RecordCodec.h"
+#include "CopyRecords.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,29 +13,11 @@
 
     constexpr const char* copiesMethod = "copies";
     constexpr const char* sealMethod = "seal";
-    constexpr const char* adoptMethod = "adopt";
     constexpr const char* adoptedMethod = "adopted";
     constexpr std::chrono::milliseconds chooseInterval { 500 };
-    constexpr std::chrono::milliseconds offerInterval { 300 };
-    constexpr size_t heirCount = 2;
     // All live hosts are asked, so not at each try to reach a holder; for each log that is searched for at a time.
     constexpr std::chrono::milliseconds searchInterval { 5000 };
 
-    std::string encodeRecords(const IncarnationId& owner, const std::vector<LogRecord>& records)
-    {
-        return toHex(encodeLogBatch({ .incarnation = owner, .number = 0, .writer = owner, .records = records }));
-    }
-
-    std::optional<std::vector<LogRecord>> decodeRecords(const std::string& hex)
-    {
-        LastReason reason;
-        auto batch = decodeLogBatch(fromHex(hex), reason);
-        if (!batch) {
-            return std::nullopt;
-        }
-        return std::move(batch->records);
-    }
-
 } // namespace
 
 /** One search for copies that a holder handed over. */
@@ -67,6 +48,7 @@
     , m_timers(timers)
     , m_calls(calls)
     , m_peers(peers)
+    , m_handover(context, timers, calls, peers)
 {
     m_state.self = context.incarnation;
     m_calls.methods().registerMethod(copiesMethod, [this](const std::string& params) { return onCopies(params); });
@@ -164,10 +146,12 @@
     }
     std::vector<CopyHolderAction> actions;
     step(m_state, m_options, HandOverDue {}, actions);
+    std::vector<CopiesPart> parts;
+    parts.reserve(actions.size());
     for (const CopyHolderAction& action : actions) {
-        m_offers.push_back(std::get<OfferPart>(action).part);
+        parts.push_back(std::get<OfferPart>(action).part);
     }
-    offerAll();
+    m_handover.begin(std::move(parts));
 }
 
 bool CopyDesk::holdsRecords() const
@@ -176,59 +160,6 @@
     return isOwnersKeeper || !m_state.adopted.empty();
 }
 
-bool CopyDesk::isHandedOver() const
-{
-    return m_state.leaving && std::any_of(m_taken.begin(), m_taken.end(), [this](const auto& taken) { return taken.second.size() == m_offers.size(); });
-}
-
-/** Hosts of other failure domains first: the own one may be leaving as a whole. */
-std::vector<IncarnationId> CopyDesk::heirs() const
-{
-    auto candidates = m_peers.live();
-    std::erase_if(candidates, [this](const auto& candidate) { return candidate.incarnation == m_context.incarnation || m_unwilling.contains(candidate.incarnation); });
-    std::stable_partition(candidates.begin(), candidates.end(), [this](const auto& candidate) { return candidate.failureDomain != m_context.settings.host().failure_domain(); });
-    std::vector<IncarnationId> chosen;
-    for (size_t index = 0; index < std::min(candidates.size(), heirCount); ++index) {
-        chosen.push_back(candidates[index].incarnation);
-    }
-    return chosen;
-}
-
-void CopyDesk::offerAll()
-{
-    for (const IncarnationId& heir : heirs()) {
-        for (size_t index = 0; index < m_offers.size(); ++index) {
-            if (!m_taken[heir].contains(index)) {
-                offer(heir, index);
-            }
-        }
-    }
-    m_timers.schedule(m_context.now + offerInterval, [this] { offerAll(); });
-}
-
-void CopyDesk::offer(const IncarnationId& to, size_t index)
-{
-    const CopiesPart& part = m_offers[index];
-    const nlohmann::json params {
-        { "holder", part.holder.text },
-        { "number", part.number },
-        { "parts", part.parts },
-        { "owner", part.owner.text },
-        { "records", encodeRecords(part.owner, part.records) },
-    };
-    m_calls.call(hostOf(to), adoptMethod, params.dump(), [this, to, index](const RpcOutcome& outcome) {
-        const auto taken = nlohmann::json::parse(outcome.resultJson, nullptr, false);
-        if (!outcome.ok() || !taken.is_boolean()) {
-            return; // offered again
-        }
-        if (taken.get<bool>()) {
-            m_taken[to].insert(index);
-        } else {
-            m_unwilling.insert(to);
-        }
-    });
-}
-
 void CopyDesk::searchAdopted(const SealCopies& action, bool holderGone, const SealDone& done)
 {
     const auto last = m_searchedAt.find(action.incarnation);
