--- a/packages/decisions/tests/AtMostOnceModel.cpp
+++ b/packages/decisions/tests/AtMostOnceModel.cpp
@@ -122,6 +122,7 @@
         break;
     case 25:
         if (!m_told.empty()) {
+            lookUpKey(m_told.begin()->second.key);
             lookUp(std::next(m_told.begin(), static_cast<std::ptrdiff_t>(step.second % m_told.size()))->first);
         }
         break;
@@ -148,6 +149,12 @@
     case 36:
         endFailureDomain(step.second % m_options.slices.sliceCount);
         break;
+    case 44:
+    case 45:
+    case 46:
+    case 47:
+        endAnnouncedDomain(step.second % m_options.slices.sliceCount);
+        break;
     case 37:
     case 38:
         requestDuringTakeover(step.second % keyCount);
--- a/packages/decisions/tests/AtMostOnceModel.h
+++ b/packages/decisions/tests/AtMostOnceModel.h
@@ -35,9 +35,12 @@
     size_t logLostAlive { 0 };
     size_t ranAfterLogClosed { 0 };
     size_t finalLookups { 0 };
+    size_t finalKeyLookups { 0 };
     size_t attemptsUnknown { 0 }; /**< Final accounts of requests that ran and whose outcome is not on record. */
     size_t ownerAndHolderLost { 0 }; /**< Both ended at once while no host reached the store, with an open intent that only they had. */
     size_t domainLost { 0 }; /**< The same, by the end of their whole failure domain. */
+    size_t domainAnnounced { 0 }; /**< As domainLost, after its hosts had handed over the copies that they held. */
+    size_t sealedFromAdopted { 0 }; /**< A seal that the lost holder's heir answered, with entries. */
     size_t ranBeforeLoss { 0 }; /**< Such an intent whose request had run. */
     size_t triedAfterLoss { 0 }; /**< A later try of such a key that an owner of its slice answered. */
     size_t accountsAfterLoss { 0 }; /**< A final account of the request that held such a key. */
@@ -122,6 +125,9 @@
     void setStoreAway(bool away);
     void endOwnerAndHolder(uint32_t slice);
     void endFailureDomain(uint32_t slice);
+    void endAnnouncedDomain(uint32_t slice);
+    void handOverCopies(Ref node, Ref heir);
+    std::optional<std::vector<LogRecord>> adoptedCopies(Ref asker, const SealCopies& action);
     void endTogether(const std::set<size_t>& hosts, uint32_t slice, size_t& counter);
     void requestLostKey(size_t index);
     void tryLostKeys();
@@ -150,7 +156,9 @@
     void mapRead(Ref node, uint32_t slice, const SliceMap& map, uint64_t version);
     bool historyLoaded(Ref node, const IncarnationId& incarnation);
     void lookUp(const RequestId& request);
-    AccountAnswer accountOf(const RequestId& request);
+    void lookUpKey(const IdempotencyKey& key);
+    AccountAnswer accountOf(const AccountQuery& query, const std::vector<IncarnationId>& candidates);
+    AccountLookupEvent askIncarnation(const AskIncarnation& ask);
     void checkWhereItRan(const RequestId& request, const AccountAnswer& answer);
     std::optional<RequestId> accountIdOf(const RequestId& request) const;
     void drain();
