--- a/packages/daemon/include/siskinspread/PeerDirectory.h
+++ b/packages/daemon/include/siskinspread/PeerDirectory.h
@@ -48,11 +48,15 @@
     /** Replaces the incarnations that the slice map names: each has to be known to its domain within some seconds. */
     void expect(const std::set<IncarnationId>& owners);
 
+    /** Lets the cloud API be asked about a copy holder too, should it come to be in doubt. */
+    void awaitVerdict(const IncarnationId& holder);
+
     /** Tells all peers that this incarnation takes no more work and has closed its log. */
     void sayGoodbye();
 
 private:
     void review();
+    ExpectedPeer expectedPeer(const IncarnationId&) const;
     void logChanges(const std::set<IncarnationId>& before) const;
     void askPlatform();
     void onHostState(const std::string& host, const TransferEnded&);
@@ -64,6 +68,7 @@
     PeerLivenessState m_state;
     PeerVerdicts m_verdicts;
     std::vector<ExpectedPeer> m_expected;
+    std::vector<ExpectedPeer> m_holders;
     std::map<std::string, MonotonicTime> m_askedAt; /**< By host, of the cloud API. */
     MonotonicTime m_startedAt {};
     bool m_ownsSlices { false };
--- a/packages/daemon/src/CopyDesk.cpp
+++ b/packages/daemon/src/CopyDesk.cpp
@@ -110,6 +110,7 @@
         done(CopyHolderGone {}); // nobody is left to ask
         return;
     }
+    m_peers.awaitVerdict(action.holder);
     m_calls.call(hostOf(action.holder), sealMethod, params.dump(), [done = std::move(done)](const RpcOutcome& outcome) {
         const auto result = nlohmann::json::parse(outcome.resultJson, nullptr, false);
         if (!outcome.ok() || !result.is_object()) {
--- a/packages/daemon/src/PeerDirectory.cpp
+++ b/packages/daemon/src/PeerDirectory.cpp
@@ -43,7 +43,9 @@
 void PeerDirectory::review()
 {
     const std::set<IncarnationId> before = m_verdicts.ended;
-    m_verdicts = reviewPeers(m_state, m_options, m_parts.membership.state(), m_parts.membership.options(), m_expected, m_context.now);
+    std::vector<ExpectedPeer> expected = m_expected;
+    expected.insert(expected.end(), m_holders.begin(), m_holders.end());
+    m_verdicts = reviewPeers(m_state, m_options, m_parts.membership.state(), m_parts.membership.options(), expected, m_context.now);
     logChanges(before);
     askPlatform();
     m_parts.timers.schedule(m_context.now + reviewInterval, [this] { review(); });
@@ -100,12 +102,23 @@
     m_expected.clear();
     m_ownsSlices = owners.contains(m_context.incarnation);
     for (const IncarnationId& owner : owners) {
-        const std::string host = hostOf(owner);
-        const schema::PeerSettings* peer = findPeer(m_context.settings, host);
-        m_expected.push_back({ .incarnation = owner, .host = host, .failureDomain = peer ? peer->failure_domain() : "" });
+        m_expected.push_back(expectedPeer(owner));
     }
 }
 
+ExpectedPeer PeerDirectory::expectedPeer(const IncarnationId& incarnation) const
+{
+    const std::string host = hostOf(incarnation);
+    const schema::PeerSettings* peer = findPeer(m_context.settings, host);
+    return { .incarnation = incarnation, .host = host, .failureDomain = peer ? peer->failure_domain() : "" };
+}
+
+void PeerDirectory::awaitVerdict(const IncarnationId& holder)
+{
+    std::erase_if(m_holders, [this, &holder](const ExpectedPeer& peer) { return peer.incarnation == holder || isGone(peer.incarnation); });
+    m_holders.push_back(expectedPeer(holder));
+}
+
 void PeerDirectory::sayGoodbye()
 {
     const std::string params = nlohmann::json { { "incarnation", m_context.incarnation.text } }.dump();
--- a/packages/daemon/tests/PeerDirectoryTest.cpp
+++ b/packages/daemon/tests/PeerDirectoryTest.cpp
@@ -84,8 +84,10 @@
 
 TEST_CASE_FIXTURE(DirectoryFixture, "the cloud API is asked about a peer out of reach, at intervals, and its word ends the peer")
 {
-    directory.expect({ far });
     advanceHearing(near, "one", 2, 10s);
+    CHECK_FALSE(platform.take("http://cloud/hosts/c")); // it owns no slices and holds no copies
+    directory.awaitVerdict(far);
+    advanceHearing(near, "one", 2, 1s);
     CHECK(directory.ended().empty());
     CHECK(directory.isLost(far));
     auto asked = platform.take("http://cloud/hosts/c");
--- a/packages/decisions/include/siskinspread/PeerLiveness.h
+++ b/packages/decisions/include/siskinspread/PeerLiveness.h
@@ -16,7 +16,7 @@
 
 namespace siskinspread {
 
-/** An incarnation that the slice map names, whether or not it has been heard of. */
+/** An incarnation whose end matters, since it owns slices or holds copies, whether or not it has been heard of. */
 struct ExpectedPeer {
     IncarnationId incarnation;
     std::string host;
@@ -54,7 +54,7 @@
 struct PeerVerdicts {
     std::vector<SliceOwnerCandidate> live; /**< Those within reach that are not suspected; this one first. */
     std::set<IncarnationId> ended;
-    std::set<std::string> inDoubt; /**< Hosts that only the platform can tell of. */
+    std::set<std::string> inDoubt; /**< Hosts of expected incarnations that only the platform can tell of. */
 };
 
 /**
--- a/packages/decisions/src/PeerLiveness.cpp
+++ b/packages/decisions/src/PeerLiveness.cpp
@@ -15,6 +15,7 @@
         bool mayJudge { false };
         PeerVerdicts verdicts;
         std::map<IncarnationId, SilentPeer> silent;
+        std::set<IncarnationId> expected;
 
         bool isReachable(const std::string& failureDomain) const { return isDomainReachable(membership, membershipOptions, failureDomain, now); }
 
@@ -148,15 +149,18 @@
             const auto known = state.silent.find(peer.incarnation);
             const MonotonicTime since = known == state.silent.end() ? now : known->second.since;
             silent.insert_or_assign(peer.incarnation, SilentPeer { .host = peer.host, .since = since });
-            if (options.asksPlatform) {
-                verdicts.inDoubt.insert(peer.host);
-            } else {
+            if (!options.asksPlatform) {
                 endIf(now >= since + options.silenceTime, peer);
+            } else if (expected.contains(peer.incarnation)) {
+                verdicts.inDoubt.insert(peer.host);
             }
         }
 
-        void run(const std::vector<ExpectedPeer>& expected)
+        void run(const std::vector<ExpectedPeer>& expectedPeers)
         {
+            for (const ExpectedPeer& peer : expectedPeers) {
+                expected.insert(peer.incarnation);
+            }
             excuseOwnPause();
             mayJudge = !isIsolated();
             noteReplacements();
@@ -164,7 +168,7 @@
             for (const auto& [address, entry] : membership.table.entries) {
                 judgeMember(entry);
             }
-            for (const ExpectedPeer& peer : expected) {
+            for (const ExpectedPeer& peer : expectedPeers) {
                 judgeAbsent(peer);
             }
             state.silent = std::move(silent);
@@ -178,7 +182,7 @@
 PeerVerdicts reviewPeers(PeerLivenessState& state, const PeerLivenessOptions& options, const MembershipState& membership,
     const MembershipOptions& membershipOptions, const std::vector<ExpectedPeer>& expected, MonotonicTime now)
 {
-    Reviewer reviewer { .state = state, .options = options, .membership = membership, .membershipOptions = membershipOptions, .now = now, .verdicts = {}, .silent = {} };
+    Reviewer reviewer { .state = state, .options = options, .membership = membership, .membershipOptions = membershipOptions, .now = now, .verdicts = {}, .silent = {}, .expected = {} };
     reviewer.run(expected);
     return std::move(reviewer.verdicts);
 }
--- a/packages/decisions/tests/PeerLivenessTest.cpp
+++ b/packages/decisions/tests/PeerLivenessTest.cpp
@@ -162,13 +162,15 @@
 TEST_CASE("hosts of a failure domain that is cut off are not held to have ended, on either side")
 {
     LivenessNetwork hosts { 2, 3 };
+    hosts.expect(0);
+    hosts.expect(4);
     hosts.cutBetween({ 0, 1, 2 }, { 3, 4, 5 });
     hosts.run(60s);
     CHECK(hosts.wrongVerdicts() == 0);
     CHECK(hosts.naiveVerdicts() == 18);
     CHECK(hosts.verdicts[0].live.size() == 3);
-    CHECK(hosts.verdicts[0].inDoubt.size() == 3);
-    CHECK(hosts.verdicts[5].inDoubt.size() == 3);
+    CHECK(hosts.verdicts[0].inDoubt == std::set<std::string> { "h1004" });
+    CHECK(hosts.verdicts[5].inDoubt == std::set<std::string> { "h1000" });
 }
 
 TEST_CASE("a host that hears nobody, or whom nobody hears, judges nobody")
