--- a/packages/decisions/src/PeerLiveness.cpp
+++ b/packages/decisions/src/PeerLiveness.cpp
@@ -51,12 +51,13 @@
 
         void noteReplacements() const
         {
-            for (const auto& [address, entry] : membership.table.entries) {
-                auto& seen = state.generations[address];
-                uint32_t& own = seen[{ entry.record.incarnation }];
-                own = std::max(own, entry.record.generation);
+            for (const auto& item : membership.table.entries) {
+                const MemberRecord& record = item.second.record;
+                auto& seen = state.generations[record.address];
+                uint32_t& own = seen[{ record.incarnation }];
+                own = std::max(own, record.generation);
                 std::erase_if(seen, [&](const auto& process) {
-                    const bool isReplaced = process.second < entry.record.generation && process.first.text != entry.record.incarnation;
+                    const bool isReplaced = process.second < record.generation && process.first.text != record.incarnation;
                     if (isReplaced) {
                         state.gone.insert(process.first);
                     }
--- a/packages/decisions/tests/MembershipNetwork.h
+++ b/packages/decisions/tests/MembershipNetwork.h
@@ -220,4 +220,27 @@
     MonotonicTime m_now { std::chrono::hours { 1 } };
 };
 
+/** Cuts, mends, restarts, pauses, resumes or loses messages, and lets time pass. */
+template <typename Network>
+void disturb(Network& network, uint32_t choice)
+{
+    const size_t a = choice >> 8;
+    const size_t b = choice >> 16;
+    const uint32_t operation = choice % 8;
+    if (operation == 0) {
+        network.cut(a, b);
+    } else if (operation == 1) {
+        network.mend(a, b);
+    } else if (operation == 2) {
+        network.start(a);
+    } else if (operation == 3) {
+        network.pause(a);
+    } else if (operation == 4) {
+        network.resume(a);
+    } else if (operation == 5) {
+        network.setLossPercent((choice >> 24) % 40);
+    }
+    network.run(std::chrono::milliseconds { 100 } * ((choice >> 24) % 32));
+}
+
 } // namespace siskinspread
