--- a/packages/daemon/src/CopyDesk.cpp
+++ b/packages/daemon/src/CopyDesk.cpp
@@ -124,6 +124,7 @@
         searchAdopted(action, true, done); // before its end it may have handed its copies over
         return;
     }
+    m_peers.awaitVerdict(action.holder);
     m_calls.call(hostOf(action.holder), sealMethod, params.dump(), [this, action, done = std::move(done)](const RpcOutcome& outcome) {
         const auto result = nlohmann::json::parse(outcome.resultJson, nullptr, false);
         if (!outcome.ok() || !result.is_object()) {
--- a/packages/decisions/src/PeerLiveness.cpp
+++ b/packages/decisions/src/PeerLiveness.cpp
@@ -15,6 +15,7 @@
         bool mayJudge { false };
         PeerVerdicts verdicts;
         std::map<IncarnationId, SilentPeer> silent;
+        std::set<IncarnationId> expected;
 
         bool isReachable(const std::string& failureDomain) const { return isDomainReachable(membership, membershipOptions, failureDomain, now); }
 
@@ -50,12 +51,13 @@
 
         void noteReplacements() const
         {
-            for (const auto& [address, entry] : membership.table.entries) {
-                auto& seen = state.generations[address];
-                uint32_t& own = seen[{ entry.record.incarnation }];
-                own = std::max(own, entry.record.generation);
+            for (const auto& item : membership.table.entries) {
+                const MemberRecord& record = item.second.record;
+                auto& seen = state.generations[record.address];
+                uint32_t& own = seen[{ record.incarnation }];
+                own = std::max(own, record.generation);
                 std::erase_if(seen, [&](const auto& process) {
-                    const bool isReplaced = process.second < entry.record.generation && process.first.text != entry.record.incarnation;
+                    const bool isReplaced = process.second < record.generation && process.first.text != record.incarnation;
                     if (isReplaced) {
                         state.gone.insert(process.first);
                     }
@@ -148,15 +150,18 @@
             const auto known = state.silent.find(peer.incarnation);
             const MonotonicTime since = known == state.silent.end() ? now : known->second.since;
             silent.insert_or_assign(peer.incarnation, SilentPeer { .host = peer.host, .since = since });
-            if (options.asksPlatform) {
-                verdicts.inDoubt.insert(peer.host);
-            } else {
+            if (!options.asksPlatform) {
                 endIf(now >= since + options.silenceTime, peer);
+            } else if (expected.contains(peer.incarnation)) {
+                verdicts.inDoubt.insert(peer.host);
             }
         }
 
-        void run(const std::vector<ExpectedPeer>& expected)
+        void run(const std::vector<ExpectedPeer>& expectedPeers)
         {
+            for (const ExpectedPeer& peer : expectedPeers) {
+                expected.insert(peer.incarnation);
+            }
             excuseOwnPause();
             mayJudge = !isIsolated();
             noteReplacements();
@@ -164,7 +169,7 @@
             for (const auto& [address, entry] : membership.table.entries) {
                 judgeMember(entry);
             }
-            for (const ExpectedPeer& peer : expected) {
+            for (const ExpectedPeer& peer : expectedPeers) {
                 judgeAbsent(peer);
             }
             state.silent = std::move(silent);
@@ -178,7 +183,7 @@
 PeerVerdicts reviewPeers(PeerLivenessState& state, const PeerLivenessOptions& options, const MembershipState& membership,
     const MembershipOptions& membershipOptions, const std::vector<ExpectedPeer>& expected, MonotonicTime now)
 {
-    Reviewer reviewer { .state = state, .options = options, .membership = membership, .membershipOptions = membershipOptions, .now = now, .verdicts = {}, .silent = {} };
+    Reviewer reviewer { .state = state, .options = options, .membership = membership, .membershipOptions = membershipOptions, .now = now, .verdicts = {}, .silent = {}, .expected = {} };
     reviewer.run(expected);
     return std::move(reviewer.verdicts);
 }
