Ask the cloud API whether the hosts of unreachable backend servers have ended

Cause: the decision took ServerEnded, but nothing gave it. Of a pool that lost more than half at once, dead servers stayed in use for the panic threshold, and the platform's list can't remove them then.

Change: EndedServers, on the two readers of each domain, asks GET /hosts while some server is reached by nobody, at most once every platform.host_list_interval_ms. The run that was unreachable at the question and still is leaves when its host has ended, and so is gone at all hosts. The case about the bytes of news also runs with two failure domains.

Ruled out: asking all the time (240 KB an answer at 1,050 hosts), and the list's silence as such a word (it lags).

--- a/packages/daemon/include/siskinspread/BackendStatusAdapter.h
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -62,6 +62,12 @@
     /** Takes the platform's list; hosts on it that are no backend servers are ignored. */
     void hostListRead(const std::vector<ListedHost>&);
 
+    /** @return the runs that nobody reaches and that had no leave sign. */
+    std::vector<ServerEnded> unreachableRuns() const;
+
+    /** Takes the cloud's word that the host of a run has ended. It has no effect when someone has reached the server since. */
+    void hostEnded(const ServerEnded&);
+
     /** @return "joining", "live", "unreachable", "leaving" or "gone". */
     std::string_view stateName(const std::string& server) const;
 
--- a/packages/daemon/src/BackendStatusAdapter.cpp
+++ b/packages/daemon/src/BackendStatusAdapter.cpp
@@ -198,6 +198,28 @@
     take(list);
 }
 
+std::vector<ServerEnded> BackendStatusAdapter::unreachableRuns() const
+{
+    std::vector<ServerEnded> runs;
+    for (const std::string& name : m_unreachable) {
+        const auto known = m_state.servers.find(name);
+        if (known != m_state.servers.end()) {
+            runs.push_back({ .server = name, .instance = known->second.instance });
+        }
+    }
+    return runs;
+}
+
+void BackendStatusAdapter::hostEnded(const ServerEnded& ended)
+{
+    const auto known = m_state.servers.find(ended.server);
+    if (known == m_state.servers.end() || known->second.instance != ended.instance || !isJudgedUnreachable(m_state, m_options, known->second, m_context.now)) {
+        return;
+    }
+    updateObservers();
+    take(ended);
+}
+
 // The run was not known when the sign came, so it is given again for the run that has shown itself.
 void BackendStatusAdapter::signEarlyLeave(const std::string& server)
 {
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -9,6 +9,7 @@
 #include "siskinspread/ConfigurationFeedAdapter.h"
 #include "siskinspread/CopyDesk.h"
 #include "siskinspread/DrainRoute.h"
+#include "siskinspread/EndedServers.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/HostListReader.h"
 #include "siskinspread/KeyedRequests.h"
@@ -80,6 +81,7 @@
         m_membership.start();
         m_notices.start();
         m_hostList.start();
+        m_endedServers.start();
         m_backendStatus.start();
         scheduleRefresh();
         m_log.write({ .level = LogLevel::Info, .message = "host started", .fields = { { .name = "incarnation", .value = m_context.incarnation.text }, { .name = "caller_port", .value = *port } } });
@@ -331,6 +333,8 @@
         { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
     HostListReader m_hostList { m_context, { .timers = m_timers, .domainHosts = [this] { return domainHosts(); }, .onList = [this](const std::vector<ListedHost>& hosts) { m_backendStatus.hostListRead(hosts); } },
         { .url = m_settings.platform().host_list(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
+    EndedServers m_endedServers { m_context, { .timers = m_timers, .isReader = [this] { return isNoticeReader(m_settings.host().name(), domainHosts(), {}); }, .unreachable = [this] { return m_backendStatus.unreachableRuns(); }, .onEnded = [this](const ServerEnded& ended) { m_backendStatus.hostEnded(ended); } },
+        { .url = m_settings.platform().cloud_api(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
     MonotonicTime m_closingEnds {};
     MonotonicTime m_leaveAt {};
     bool m_closingBegan { false };
--- a/packages/daemon/tests/HostListReaderTest.cpp
+++ b/packages/daemon/tests/HostListReaderTest.cpp
@@ -1,5 +1,6 @@
 #include "HostFixture.h"
 
+#include "siskinspread/EndedServers.h"
 #include "siskinspread/HostListReader.h"
 
 #include <doctest/doctest.h>
@@ -63,4 +64,21 @@
     CHECK(platform.open.empty());
 }
 
+TEST_CASE_FIXTURE(ListFixture, "the cloud is asked about a server only while nobody reaches it, and only its word counts")
+{
+    std::vector<ServerEnded> unreachable;
+    std::vector<std::string> ended;
+    EndedServers servers { context, { .timers = timers, .isReader = [] { return true; }, .unreachable = [&] { return unreachable; }, .onEnded = [&](const ServerEnded& run) { ended.push_back(run.server + run.instance); } }, { .url = "http://cloud" } };
+    servers.start();
+    advance(100s);
+    CHECK_FALSE(platform.take("http://cloud/hosts"));
+    unreachable = { { .server = "e0", .instance = "run1" }, { .server = "e1", .instance = "run1" }, { .server = "e2", .instance = "run1" } };
+    advance(1s);
+    loseAnswer(platform.take("http://cloud/hosts").value());
+    CHECK(ended.empty());
+    advance(31s);
+    answer(platform.take("http://cloud/hosts").value(), 200, R"([{"name":"e0","state":"ended"},{"name":"e1","state":"leaving"},{"name":"e3","state":"ended"},{"name":"e2"}])");
+    CHECK(ended == std::vector<std::string> { "e0run1" });
+}
+
 } // namespace siskinspread
--- a/packages/platform/src/CloudApi.cpp
+++ b/packages/platform/src/CloudApi.cpp
@@ -36,10 +36,11 @@
         if (!entry.is_object() || !entry.contains("name") || !entry["name"].is_string()) {
             return std::nullopt;
         }
-        const auto state = entry.find("state");
+        const auto state = entry.value("state", nlohmann::json {});
         return ListedHost {
             .name = entry["name"].get<std::string>(),
-            .leaving = state != entry.end() && *state == "leaving",
+            .leaving = state == "leaving",
+            .ended = state == "ended",
             .noticeAt = wallTimeOf(entry, "notice_at_ms"),
         };
     }
@@ -113,11 +114,16 @@
     return readFrom(options, "/host-list");
 }
 
+StartTransfer readCloudHosts(const CloudApiOptions& options)
+{
+    return readFrom(options, "/hosts");
+}
+
 std::optional<std::vector<ListedHost>> hostList(const TransferEnded& ended, LastReason& reason)
 {
     const auto document = listOf(ended);
     if (!document) {
-        return fail(reason, ResultCode::StoreUnavailable, "the platform did not answer with its list of hosts");
+        return fail(reason, ResultCode::StoreUnavailable, "the platform did not answer with a list of hosts");
     }
     return parsedEntries(*document, listedHostOf);
 }
--- a/tests/process/BackendStatusTest.cpp
+++ b/tests/process/BackendStatusTest.cpp
@@ -27,19 +27,6 @@
     }
 }
 
-/** Hosts of other domains hear of changes only, which may have come before they had started. */
-void waitUntilLiveInItsDomain(const Deployment& deployment, const std::string& server)
-{
-    const std::string description = "all hosts of its domain see " + server + " as live";
-    for (size_t host = 0; host < deployment.hostCount(); ++host) {
-        eventually(description, [&] {
-            const json view = deployment.backendServer(host, server);
-            const std::string domain = view.value("failure_domain", "");
-            return view.value("state", "") == "live" || (!domain.empty() && domain != deployment.host(host).failureDomain);
-        });
-    }
-}
-
 double listReads(const Deployment& deployment, size_t host)
 {
     return deployment.metric(host, R"(siskinspread_store_calls_total{)", R"(outcome="answered",purpose="host_list")");
@@ -101,7 +88,7 @@
 TEST_CASE("a leaving engine gets nothing more from any of four hosts in two failure domains")
 {
     const Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 3 } };
-    waitUntilLiveInItsDomain(deployment, "engine-0");
+    waitForState(deployment, "engine-0", "live");
     sendToAllHosts(deployment, "before", 2);
 
     const auto begin = std::chrono::steady_clock::now();
@@ -118,7 +105,7 @@
 TEST_CASE("the cloud's notice takes an engine out at every host before the engine itself says anything")
 {
     const Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 3, .cloud = true } };
-    waitUntilLiveInItsDomain(deployment, "engine-0");
+    waitForState(deployment, "engine-0", "live");
     deployment.giveNotice({ { "hosts", { "engine-0" } }, { "seconds", 600 } });
     waitForState(deployment, "engine-0", "leaving");
     const uint64_t started = total(deployment, 0, "started");
@@ -190,11 +177,29 @@
     waitForState(deployment, "engine-0", "live");
 }
 
+TEST_CASE("an engine that nobody reaches is gone at all hosts once the cloud says that its host has ended, and comes back as a new run")
+{
+    Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 3, .cloud = true } };
+    for (const std::string engine : { "engine-0", "engine-1", "engine-2" }) {
+        waitForState(deployment, engine, "live");
+    }
+    deployment.cloud().setFaults(R"({"freeze_list": true})"); // it goes on naming all
+    deployment.engine(0).process().kill();
+    deployment.engine(1).process().kill();
+    waitForState(deployment, "engine-0", "unreachable");
+    waitForState(deployment, "engine-1", "unreachable");
+    httpCall({ .method = "POST", .url = deployment.cloud().url("/control/ended"), .body = json { { "hosts", { "engine-0" } } }.dump() });
+    waitForState(deployment, "engine-0", "gone");
+    waitForState(deployment, "engine-1", "unreachable");
+    deployment.restartEngine(0);
+    waitForState(deployment, "engine-0", "live");
+}
+
 TEST_CASE("an engine's own refusal takes it out at the host that got it and at the others")
 {
     // The published load is so old that no probe tells of the leave.
     const Deployment deployment { { .failureDomains = 1, .hostsPerFailureDomain = 4, .engines = 1, .engineArguments = { "--between-tokens-ms", "2", "--load-lag-ms", "600000" } } };
-    waitUntilLiveInItsDomain(deployment, "engine-0");
+    waitForState(deployment, "engine-0", "live");
     deployment.engine(0).setFaults(R"({"leaving": true})");
     CHECK(httpStream(deployment.chat(1, "a refused one", shortAnswer)).response.status != 200);
     waitForState(deployment, "engine-0", "leaving");
@@ -203,8 +208,8 @@
 TEST_CASE("a killed engine gets nothing more once its observers say so, and a new run at its address gets work again")
 {
     Deployment deployment { { .hostsPerFailureDomain = 2, .engines = 2 } };
-    waitUntilLiveInItsDomain(deployment, "engine-0");
-    waitUntilLiveInItsDomain(deployment, "engine-1");
+    waitForState(deployment, "engine-0", "live");
+    waitForState(deployment, "engine-1", "live");
     const auto begin = std::chrono::steady_clock::now();
     deployment.engine(0).process().kill();
     waitForState(deployment, "engine-0", "unreachable");
@@ -263,10 +268,13 @@
     deployment.engine(0).setFaults(R"({"down": true})"); // ends the queued ones too
 }
 
-TEST_CASE("news of four engines costs each of four hosts less than a node's allowance for control")
+TEST_CASE("news of four engines costs each of four hosts, in one failure domain or two, less than a node's allowance for control")
 {
-    const Deployment deployment { { .failureDomains = 1, .hostsPerFailureDomain = 4, .engines = 4 } };
-    waitUntilLiveInItsDomain(deployment, "engine-3");
+    size_t failureDomains = 1;
+    SUBCASE("one failure domain") { }
+    SUBCASE("two failure domains") { failureDomains = 2; }
+    const Deployment deployment { { .failureDomains = failureDomains, .hostsPerFailureDomain = 4 / failureDomains, .engines = 4 } };
+    waitForState(deployment, "engine-3", "live");
     const auto count = [&](size_t host, const char* name) { return deployment.metric(host, name, "sent") + deployment.metric(host, name, "received"); };
     constexpr double bytesPerSecondAllowed = 25'000;
     // Which hosts observe is drawn anew with each incarnation; over all hosts there are at least three datagrams a second.
@@ -288,7 +296,7 @@
     const double seconds = milliseconds(std::chrono::steady_clock::now() - begin) / 1000;
     for (size_t host = 0; host < deployment.hostCount(); ++host) {
         const double bytes = count(host, "siskinspread_backend_news_bytes_total") - before[host];
-        MESSAGE("host " << host << ": " << bytes / seconds << " bytes a second over " << seconds << " s");
+        MESSAGE(failureDomains << " failure domains, host " << host << ": " << bytes / seconds << " bytes a second over " << seconds << " s");
         CHECK(bytes / seconds < bytesPerSecondAllowed);
     }
 }
