Pass on another domain's word of a backend server only when it is news, and send such news in a class of its own

Cause: as long as one observer does not reach a server and the other does, each report of the other counted as news at every host of another domain that got it, and went to that whole domain again.

Change: a report that a server is reached is news when its run is, or when the server was judged unreachable.

--- a/packages/daemon/include/siskinspread/BackendStatusAdapter.h
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "siskinspread/BackendNews.h"
+#include "siskinspread/BackendNewsSender.h"
 #include "siskinspread/BackendServerStatus.h"
 #include "siskinspread/CloudApi.h"
 #include "siskinspread/HeartbeatChannel.h"
@@ -90,12 +90,12 @@
     std::vector<ObservedServer> withLoads(const std::vector<ServerObservation>&) const;
     std::vector<std::string> domainHosts() const;
     std::vector<std::string> otherHosts() const;
-    void send(const std::string& host, const std::string& bytes);
     template <typename Action>
     void forEachView(const std::string& server, Action action);
 
     HostContext& m_context;
     Parts m_parts;
+    BackendNewsSender m_news;
     const ServerStatusOptions m_options;
     BackendServerStatusState m_state;
     std::map<std::string, std::string> m_addresses; /**< By server. */
--- a/packages/daemon/src/BackendStatusAdapter.cpp
+++ b/packages/daemon/src/BackendStatusAdapter.cpp
@@ -1,7 +1,6 @@
 #include "siskinspread/BackendStatusAdapter.h"
 
 #include "siskinspread/CallerResponse.h"
-#include "siskinspread/PeerCalls.h"
 #include "siskinspread/ServerLoadReport.h"
 
 #include <algorithm>
@@ -52,6 +51,7 @@
 BackendStatusAdapter::BackendStatusAdapter(HostContext& context, Parts parts)
     : m_context(context)
     , m_parts(parts)
+    , m_news(context, parts.heartbeats)
 {
     m_state.self = m_context.incarnation.text;
     m_state.selfDomain = m_context.settings.host().failure_domain();
@@ -294,16 +294,8 @@
 
 void BackendStatusAdapter::act(const ShareObservations& share)
 {
-    const NewsSender sender { .incarnation = m_state.self, .failureDomain = m_state.selfDomain };
-    const auto sendAll = [&](const std::vector<std::string>& hosts, const std::vector<ServerObservation>& observations) {
-        for (const std::string& datagram : observationDatagrams(sender, withLoads(observations), m_context.now)) {
-            for (const std::string& host : hosts) {
-                send(host, datagram);
-            }
-        }
-    };
-    sendAll(domainHosts(), share.observations);
-    sendAll(m_parts.membership.otherRelays(), share.forOtherDomains);
+    m_news.sendObservations(domainHosts(), withLoads(share.observations));
+    m_news.sendObservations(m_parts.membership.otherRelays(), withLoads(share.forOtherDomains));
 }
 
 void BackendStatusAdapter::act(const GossipObservations& gossip)
@@ -312,45 +304,21 @@
     for (const ServerObservation& observation : gossip.observations) {
         observed.push_back({ .observation = observation, .load = std::nullopt });
     }
-    const std::string host = findPeer(m_context.settings, gossip.host) ? gossip.host : hostOf({ gossip.host });
-    for (const std::string& datagram : observationDatagrams({ .incarnation = m_state.self, .failureDomain = m_state.selfDomain }, observed, m_context.now)) {
-        send(host, datagram);
-    }
+    m_news.sendObservations({ gossip.host }, observed);
 }
 
 void BackendStatusAdapter::act(const ShareLeave& share)
 {
-    const std::string datagram = leaveDatagram({ .incarnation = m_state.self, .failureDomain = m_state.selfDomain }, { .server = share.server, .instance = share.instance });
-    for (const std::string& host : share.hosts) {
-        send(hostOf({ host }), datagram);
-    }
+    m_news.sendLeave(share.hosts, { .server = share.server, .instance = share.instance });
 }
 
 std::vector<std::string> BackendStatusAdapter::domainHosts() const
 {
-    std::vector<std::string> hosts;
-    for (const std::string& incarnation : m_state.observers) {
-        if (incarnation != m_state.self) {
-            hosts.push_back(hostOf({ incarnation }));
-        }
-    }
+    std::vector<std::string> hosts = m_state.observers;
+    std::erase(hosts, m_state.self);
     return hosts;
 }
 
-void BackendStatusAdapter::send(const std::string& host, const std::string& bytes)
-{
-    const schema::PeerSettings* peer = findPeer(m_context.settings, host);
-    if (!peer) {
-        return;
-    }
-    auto datagram = std::make_unique<Datagram>(Datagram { .address = peer->address() + ":" + std::to_string(peer->heartbeat_port()), .bytes = bytes });
-    if (m_parts.heartbeats.trySend(datagram)) {
-        m_context.metrics.countBackendNews(NewsDirection::Sent, bytes.size());
-    } else {
-        m_context.metrics.countRingRefusal(Ring::DecideToPeers); // sharing repeats what was lost
-    }
-}
-
 void BackendStatusAdapter::act(const ServerPhaseChanged& change)
 {
     const ServerState& server = m_state.servers.at(change.server);
--- a/packages/decisions/src/BackendServerStatus.cpp
+++ b/packages/decisions/src/BackendServerStatus.cpp
@@ -317,7 +317,7 @@
         }
 
         /** A leave is not passed on with its observation: it spreads by ShareLeave, which costs a relay less. */
-        static bool isNews(const ServerState& server, const ServerObservation& observation)
+        bool isNews(const ServerState& server, const ServerObservation& observation) const
         {
             if (observation.leaving) {
                 return false;
@@ -326,8 +326,8 @@
                 const auto known = server.evidence.find(observation.observer);
                 return known == server.evidence.end() || known->second.reachable != false;
             }
-            const bool wasMissed = std::any_of(server.evidence.begin(), server.evidence.end(), [](const auto& item) { return item.second.reachable == false; });
-            return wasMissed || observation.instance != server.instance || server.phase == ServerPhase::Joining;
+            const bool isNewRun = observation.instance != server.instance || server.phase == ServerPhase::Joining;
+            return isNewRun || isJudgedUnreachable(state, options, server, now);
         }
 
         /** Mends the loss of a leave sign, also of one that this host got before it knew any other host. */
--- a/packages/decisions/tests/BackendServerGossipTest.cpp
+++ b/packages/decisions/tests/BackendServerGossipTest.cpp
@@ -76,6 +76,8 @@
 
         std::map<std::string, BackendServerStatusState> hosts; /**< By name. */
         std::set<std::string> down; /**< Servers that nobody reaches. */
+        std::string blindHost; /**< Reaches no server. */
+        size_t passedOn { 0 }; /**< Observations that hosts of "b", which has no servers, sent to all of it. */
         std::function<bool(const std::string& from, const std::string& to)> isLost = isLostNowhere;
         size_t gossiped { 0 }; /**< Observations between hosts by gossip. */
         MonotonicTime now { 1h };
@@ -109,9 +111,10 @@
         void perform(const std::string& from, const ServerAction& action)
         {
             if (const auto* probe = std::get_if<ProbeServer>(&action)) {
-                const bool reachable = !down.contains(probe->server);
+                const bool reachable = !down.contains(probe->server) && from != blindHost;
                 m_messages.emplace_back(from, ServerProbed { .server = probe->server, .instance = reachable ? instanceOf(probe->server) : "", .reachable = reachable });
             } else if (const auto* share = std::get_if<ShareObservations>(&action)) {
+                passedOn += from.front() == 'b' ? share->observations.size() : 0;
                 for (const std::string& to : hosts.at(from).observers) {
                     sendAll(from, to, share->observations);
                 }
@@ -199,6 +202,20 @@
     CHECK(fleet.hostsThatSee("s7", ServerPhase::Live) == allHosts);
 }
 
+TEST_CASE("a server that one observer does not reach is live everywhere, and its domain's word of it is not passed on over and over")
+{
+    TwoDomains fleet { 6 };
+    fleet.run(90s);
+    fleet.blindHost = "a1";
+    fleet.run(30s);
+    const size_t before = fleet.passedOn;
+    fleet.run(60s);
+    CHECK(fleet.passedOn == before);
+    for (const auto& [name, state] : fleet.hosts) {
+        CHECK(routableServers(state, {}, "p", fleet.now).servers.size() == 6);
+    }
+}
+
 TEST_CASE("gossip stays within its bounds at rest and while a domain's worth of servers leaves")
 {
     constexpr size_t servers = 250;
