--- a/packages/daemon/include/siskinspread/BackendStatusAdapter.h
+++ b/packages/daemon/include/siskinspread/BackendStatusAdapter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "siskinspread/BackendNews.h"
+#include "siskinspread/BackendNewsSender.h"
 #include "siskinspread/BackendServerStatus.h"
 #include "siskinspread/CloudApi.h"
 #include "siskinspread/HeartbeatChannel.h"
@@ -63,6 +63,12 @@
     /** Takes the platform's list; hosts on it that are no backend servers are ignored. */
     void hostListRead(const std::vector<ListedHost>&);
 
+    /** @return the runs that nobody reaches and that had no leave sign. */
+    std::vector<ServerEnded> unreachableRuns() const;
+
+    /** Takes the cloud's word that the host of a run has ended. It has no effect when someone has reached the server since. */
+    void hostEnded(const ServerEnded&);
+
     /** @return "joining", "live", "unreachable", "leaving" or "gone". */
     std::string_view stateName(const std::string& server) const;
 
@@ -88,12 +94,12 @@
     std::vector<ObservedServer> withLoads(const std::vector<ServerObservation>&) const;
     std::vector<std::string> domainHosts() const;
     std::vector<std::string> otherHosts() const;
-    void send(const std::string& host, const std::string& bytes);
     template <typename Action>
     void forEachView(const std::string& server, Action action);
 
     HostContext& m_context;
     Parts m_parts;
+    BackendNewsSender m_news;
     const ServerStatusOptions m_options;
     BackendServerStatusState m_state;
     std::map<std::string, std::string> m_addresses; /**< By server. */
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -15,6 +15,7 @@
 #include "siskinspread/DutyRank.h"
 #include "siskinspread/DutyView.h"
 #include "siskinspread/EngineOrdersAdapter.h"
+#include "siskinspread/EndedServers.h"
 #include "siskinspread/HeartbeatChannel.h"
 #include "siskinspread/HostListReader.h"
 #include "siskinspread/KeyedRequests.h"
@@ -90,6 +91,7 @@
         m_notices.start();
         m_hostList.start();
         m_backendStatus.isHeldBack = [this](const std::string& server) { return m_holds.isHeldBack(server); };
+        m_endedServers.start();
         m_backendStatus.start();
         m_holds.start();
         m_engineLease.start();
@@ -387,6 +389,8 @@
         cloudOptions(m_settings.platform()) };
     HostListReader m_hostList { m_context, { .timers = m_timers, .domainHosts = [this] { return domainHosts(); }, .onList = [this](const std::vector<ListedHost>& hosts) { m_backendStatus.hostListRead(hosts); } },
         { .url = m_settings.platform().host_list(), .timeout = std::chrono::milliseconds { m_settings.platform().timeout_ms() } } };
+    EndedServers m_endedServers { m_context, { .timers = m_timers, .isReader = [this] { return isNoticeReader(m_settings.host().name(), domainHosts(), {}); }, .unreachable = [this] { return m_backendStatus.unreachableRuns(); }, .onEnded = [this](const ServerEnded& ended) { m_backendStatus.hostEnded(ended); } },
+        cloudOptions(m_settings.platform()) };
     MonotonicTime m_closingBeganAt {};
     MonotonicTime m_handOverAt {};
     MonotonicTime m_closingEnds {};
