--- a/tests/process/EngineOrdersTest.cpp
+++ b/tests/process/EngineOrdersTest.cpp
@@ -88,6 +88,12 @@
     Deployment deployment { { .failureDomains = 1, .hostsPerFailureDomain = 2, .engines = 0 } };
 
 private:
+    std::string engineText(size_t engine) const
+    {
+        return "[[services.backend_servers]]\nname = \"ordered-" + std::to_string(engine) + "\"\naddress = \"" + m_engines[engine]->address()
+            + "\"\nfailure_domain = \"" + deployment.host(0).failureDomain + "\"\nprice_per_hour = 1\n";
+    }
+
     std::string text(const std::string& version, int fileRevision) const
     {
         std::string result;
@@ -97,8 +103,7 @@
                 + "\nchecks_fencing_numbers = " + (service.checksFencingNumbers ? "true" : "false") + "\n[services.engine_loads]\nversion = \"" + version
                 + "\"\n[[services.engine_loads.adapters]]\nname = \"terse\"\nversion = \"" + version + "\"\n";
             for (size_t i = 0; i < service.engines; ++i, ++engine) {
-                result += "[[services.backend_servers]]\nname = \"ordered-" + std::to_string(engine) + "\"\naddress = \"" + m_engines[engine]->address()
-                    + "\"\nfailure_domain = \"" + deployment.host(0).failureDomain + "\"\nprice_per_hour = 1\n";
+                result += engineText(engine);
             }
         }
         return result;
