--- a/packages/observability/src/Metrics.cpp
+++ b/packages/observability/src/Metrics.cpp
@@ -153,6 +153,8 @@
     for (std::string_view direction : directionNames) {
         m_series->backendNews.Add(label("direction", direction));
         m_series->backendNewsBytes.Add(label("direction", direction));
+        m_series->datagrams.Add(label("direction", direction));
+        m_series->datagramBytes.Add(label("direction", direction));
     }
 }
 
