--- a/benchmark/capacity/BackendStatusFleet.cpp
+++ b/benchmark/capacity/BackendStatusFleet.cpp
@@ -24,6 +24,7 @@
     size_t encodedSize(const BackendServerStatusState& sender, const std::vector<ServerObservation>& observations, MonotonicTime now)
     {
         std::vector<ObservedServer> observed;
+        observed.reserve(observations.size());
         for (const ServerObservation& observation : observations) {
             observed.push_back({ .observation = observation, .load = BackendLoadReport { .sampledAt = now - round, .running = 12, .waiting = 3, .slots = 16, .queuedPromptTokens = 9'000 } });
         }
--- a/packages/daemon/tests/BackendStatusAdapterTest.cpp
+++ b/packages/daemon/tests/BackendStatusAdapterTest.cpp
@@ -66,7 +66,7 @@
             }
         }
 
-        bool mayReceiveWork(const std::string& server)
+        bool mayReceiveWork(const std::string& server) const
         {
             return mayReceive(*findBackendServer(pools.find(serviceName)->view, server), {});
         }
--- a/tests/process/EngineOrdersTest.cpp
+++ b/tests/process/EngineOrdersTest.cpp
@@ -94,14 +94,19 @@
             + "\"\nfailure_domain = \"" + deployment.host(0).failureDomain + "\"\nprice_per_hour = 1\n";
     }
 
+    static std::string serviceText(const OrderedService& service, const std::string& version, int fileRevision)
+    {
+        return "[[services]]\nname = \"" + service.name + "\"\npool = \"" + service.name + "\"\nkind = \"model\"\nfile_revision = " + std::to_string(fileRevision)
+            + "\nchecks_fencing_numbers = " + (service.checksFencingNumbers ? "true" : "false") + "\n[services.engine_loads]\nversion = \"" + version
+            + "\"\n[[services.engine_loads.adapters]]\nname = \"terse\"\nversion = \"" + version + "\"\n";
+    }
+
     std::string text(const std::string& version, int fileRevision) const
     {
         std::string result;
         size_t engine = 0;
         for (const OrderedService& service : m_services) {
-            result += "[[services]]\nname = \"" + service.name + "\"\npool = \"" + service.name + "\"\nkind = \"model\"\nfile_revision = " + std::to_string(fileRevision)
-                + "\nchecks_fencing_numbers = " + (service.checksFencingNumbers ? "true" : "false") + "\n[services.engine_loads]\nversion = \"" + version
-                + "\"\n[[services.engine_loads.adapters]]\nname = \"terse\"\nversion = \"" + version + "\"\n";
+            result += serviceText(service, version, fileRevision);
             for (size_t i = 0; i < service.engines; ++i, ++engine) {
                 result += engineText(engine);
             }
--- a/tests/process/support/FreePorts.cpp
+++ b/tests/process/support/FreePorts.cpp
@@ -9,7 +9,7 @@
 namespace siskinspread::testing {
 namespace {
 
-    constexpr int maxTries = 100;
+    constexpr size_t spareTries = 100;
 
     /** A socket bound to a port of 127.0.0.1, closed by the destructor. */
     class BoundSocket {
@@ -56,8 +56,8 @@
 {
     std::vector<BoundSocket> held; // all at once, so that no port is given twice
     std::vector<uint16_t> ports;
-    for (int tries = 0; ports.size() < count; ++tries) {
-        if (tries == maxTries) {
+    for (size_t tries = 0; ports.size() < count; ++tries) {
+        if (tries == count + spareTries) {
             throw std::runtime_error("no free ports");
         }
         BoundSocket stream(SOCK_STREAM, 0);
