Do not look a key up at the owner of a slice that has none

Cause: the model's lookup by key asked the slice's owner although no host had taken the slice, found no such node and read behind the list's end. The daemon leaves such an owner out (SliceKeeper::ownersOfKey); the model now does so too. Ruled out: a fault of the decision; it only got the model's answer.

--- a/packages/decisions/tests/AtMostOnceModelEnd.cpp
+++ b/packages/decisions/tests/AtMostOnceModelEnd.cpp
@@ -145,7 +145,10 @@
 void AtMostOnceModel::lookUpKey(const IdempotencyKey& key)
 {
     const SliceAssignment& slice = m_map.slices[sliceOf(key, m_options.slices)];
-    std::vector<IncarnationId> candidates { slice.owner };
+    std::vector<IncarnationId> candidates;
+    if (!slice.owner.text.empty()) { // as the daemon does: nobody has taken the slice yet
+        candidates.push_back(slice.owner);
+    }
     for (auto previous = slice.previous.rbegin(); previous != slice.previous.rend(); ++previous) {
         candidates.push_back(previous->incarnation);
     }
