Share customers' limits between hosts, report usage and order replicas

Change: one bucket a customer seen by all hosts alike, silent hosts assumed to spend an even part; a lease in the store with its number in each duty call; windows of usage decided once in the store; replicas ordered by demand, price and reclaim risk.

--- /dev/null
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "siskinspread/Time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinspread {
+
+/** Replicas of a service in one failure domain. */
+struct DomainFleet {
+    std::string domain;
+    double price { 1.0 }; /**< Of an ordinary replica for a second. */
+    uint32_t ordinary { 0 }; /**< Serving now. */
+    uint32_t reclaimable { 0 };
+    bool reclaimableDry { false }; /**< None were to be had lately. */
+};
+
+/** What the service has to do at present, over all hosts. */
+struct FleetDemand {
+    double promptTokensPerSecond { 0 }; /**< To be computed, without those that were found in memory. */
+    double requests { 0 }; /**< At replicas or waiting. */
+};
+
+/** Bounds and figures of one service. */
+struct FleetLimits {
+    uint32_t minPerDomain { 0 };
+    uint32_t maxPerDomain { 0 };
+    std::optional<double> reclaimablePrice; /**< As a share of the ordinary price. */
+    uint32_t slots { 1 };
+};
+
+/** How many replicas a load needs, and how they are mixed. */
+struct FleetPlanOptions {
+    double promptTokensPerSecond { 50000 }; /**< That a replica computes when it does nothing else; as in PlacementOptions. */
+    double promptShare { 0.45 }; /**< Of that speed that may be used: the rest goes to the tokens of running requests. */
+    double slotShare { 0.4 }; /**< Of the slots that may be used: beyond it each token takes notably longer. */
+    double headroom { 1.3 }; /**< For the rise until a replica that is ordered now serves. */
+    double ordinaryShare { 0.5 }; /**< Of what is needed, that a reclaim cannot take away. */
+    double reclaimableShare { 0.9 }; /**< Of what is needed, that may be taken away a domain at a time. */
+    uint32_t fewestOrdinary { 4 };
+};
+
+/** Wanted replicas of one failure domain. */
+struct DomainOrder {
+    std::string domain;
+    uint32_t ordinary { 0 };
+    uint32_t reclaimable { 0 };
+    bool operator==(const DomainOrder&) const = default;
+};
+
+/** @return how many replicas the demand needs. Thread safety: reentrant. */
+uint32_t replicasNeeded(const FleetDemand&, const FleetLimits&, const FleetPlanOptions&);
+
+/**
+ * Deals the replicas that are needed over the failure domains: ordinary ones to the cheapest, reclaimable ones evenly, since
+ * they leave a domain at a time. Each domain keeps its minimum, so that it can serve while it is cut off.
+ * @param domains in any order; the result has the same order. Thread safety: reentrant.
+ */
+std::vector<DomainOrder> planFleet(uint32_t needed, const std::vector<DomainFleet>& domains, const FleetLimits&, const FleetPlanOptions&);
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/decisions/include/siskinspread/SharedQuota.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "siskinspread/Time.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace siskinspread {
+
+/** The limit of a customer over all hosts. */
+struct QuotaLimit {
+    double ratePerSecond { 0 }; /**< Zero: no limit. */
+    double burst { 0 };
+};
+
+/** What another host has told of its spending. */
+struct QuotaPeer {
+    uint64_t incarnation { 0 };
+    double spent { 0 }; /**< Since its start. */
+    double assumed { 0 }; /**< Counted against the limit while it was silent, and not told by it yet. */
+    MonotonicTime heardAt {};
+};
+
+/**
+ * One customer's limit as this host sees it: a token bucket for all hosts together. Each host tells what it has spent, and
+ * takes off what the others tell; a silent host is assumed to spend an even part of the limit, so that two sides of a cut
+ * together stay within it.
+ */
+struct SharedQuota {
+    double level { 0 };
+    double spent { 0 }; /**< By this host since its start. */
+    std::optional<MonotonicTime> updatedAt;
+    std::unordered_map<std::string, QuotaPeer> peers;
+};
+
+struct SharedQuotaOptions {
+    /** Part of the burst at the start of a process, which does not know what was spent before. */
+    double firstLevel { 0.3 };
+    std::chrono::milliseconds silentAfter { 1000 }; /**< Several turns of the exchange between hosts. */
+    /** A host that was silent for longer has ended, or has lost its proof that keys are current. */
+    std::chrono::milliseconds endedAfter { 12000 };
+};
+
+/** Refills the bucket and takes off what silent hosts may have spent. Thread safety: safe while no other thread uses `quota`. */
+void refreshQuota(SharedQuota& quota, const QuotaLimit&, const SharedQuotaOptions&, MonotonicTime now);
+
+/**
+ * Takes the cost when anything is left; the bucket may go below zero by it, since a request larger than the burst would
+ * otherwise never be admitted, and is paid back before the next.
+ * @return nothing when admitted, otherwise the time until something is left. Thread safety: as refreshQuota.
+ */
+std::optional<std::chrono::milliseconds> spendQuota(SharedQuota& quota, const QuotaLimit&, double cost);
+
+/** Gives back what a request took that did not run. Thread safety: as refreshQuota. */
+void refundQuota(SharedQuota& quota, double cost);
+
+/** Takes in what another host has told. Thread safety: as refreshQuota. */
+void notePeerSpending(SharedQuota& quota, const std::string& host, uint64_t incarnation, double spent, MonotonicTime now);
+
+/** A host has said that it stops: nothing is assumed of it any more. Thread safety: as refreshQuota. */
+void notePeerStop(SharedQuota& quota, const std::string& host);
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/decisions/src/SharedQuota.cpp
@@ -0,0 +1,71 @@
+#include "siskinspread/SharedQuota.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace siskinspread {
+
+namespace {
+
+    void assumeSpending(SharedQuota& quota, const QuotaLimit& limit, const SharedQuotaOptions& options, double seconds, MonotonicTime now)
+    {
+        const double even = limit.ratePerSecond / static_cast<double>(quota.peers.size() + 1);
+        std::erase_if(quota.peers, [&](const auto& entry) { return now - entry.second.heardAt > options.endedAfter; });
+        for (auto& [host, peer] : quota.peers) {
+            if (now - peer.heardAt > options.silentAfter) {
+                peer.assumed += even * seconds;
+                quota.level -= even * seconds;
+            }
+        }
+    }
+
+} // namespace
+
+void refreshQuota(SharedQuota& quota, const QuotaLimit& limit, const SharedQuotaOptions& options, MonotonicTime now)
+{
+    if (!quota.updatedAt) {
+        quota.updatedAt = now;
+        quota.level = limit.burst * options.firstLevel;
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(now - *quota.updatedAt).count();
+    quota.updatedAt = now;
+    quota.level = std::min(limit.burst, quota.level + limit.ratePerSecond * seconds);
+    assumeSpending(quota, limit, options, seconds, now);
+}
+
+std::optional<std::chrono::milliseconds> spendQuota(SharedQuota& quota, const QuotaLimit& limit, double cost)
+{
+    if (limit.ratePerSecond > 0 && quota.level <= 0) {
+        return std::chrono::milliseconds { static_cast<int64_t>(std::ceil((1.0 - quota.level) / limit.ratePerSecond * 1000.0)) };
+    }
+    quota.level -= cost;
+    quota.spent += cost;
+    return std::nullopt;
+}
+
+void refundQuota(SharedQuota& quota, double cost)
+{
+    quota.level += cost;
+    quota.spent -= cost;
+}
+
+void notePeerSpending(SharedQuota& quota, const std::string& host, uint64_t incarnation, double spent, MonotonicTime now)
+{
+    auto [entry, isNew] = quota.peers.try_emplace(host);
+    auto& peer = entry->second;
+    if (isNew) {
+        peer.incarnation = incarnation;
+        peer.spent = spent;
+    }
+    const double before = peer.incarnation == incarnation ? peer.spent : 0.0;
+    quota.level -= spent - before - std::min(peer.assumed, std::max(0.0, spent - before));
+    peer = { .incarnation = incarnation, .spent = spent, .assumed = 0, .heardAt = now };
+}
+
+void notePeerStop(SharedQuota& quota, const std::string& host)
+{
+    quota.peers.erase(host);
+}
+
+} // namespace siskinspread
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -5,8 +5,9 @@
 #include "siskinspread/ForwardingMetrics.h"
 #include "siskinspread/ForwardingSettings.h"
 #include "siskinspread/HostLog.h"
-#include "siskinspread/QuotaShare.h"
+#include "siskinspread/SharedQuota.h"
 #include "siskinspread/RetryBudget.h"
+#include "siskinspread/TrueTime.h"
 #include "siskinspread/UsageWindows.h"
 
 #include <functional>
@@ -18,8 +19,11 @@
 
 namespace siskinspread {
 
-/** Demand of peers for one customer's limit, each peer by itself. */
-using PeerDemands = std::function<std::vector<QuotaPeer>(std::string_view customer)>;
+/** What this host asks of the replicas of one service. */
+struct ServiceDemand {
+    double promptTokensPerSecond { 0 }; /**< To be computed, smoothed. */
+    std::optional<MonotonicTime> updatedAt;
+};
 
 /**
  * The path of a request: decode, admit, place, send, answer. Decisions are in packages/decisions; this class keeps the state
@@ -28,7 +32,7 @@
  */
 class Forwarder {
 public:
-    Forwarder(asio::io_context&, const ForwardingSettings&, const PlatformAdapter&, HostLog&, ForwardingMetrics&);
+    Forwarder(asio::io_context&, const ForwardingSettings&, const PlatformAdapter&, HostLog&, ForwardingMetrics&, TrueTime&);
 
     /** A configuration is in force from here on for requests that arrive; those that wait are looked at again. */
     void setTable(std::shared_ptr<const RoutingTable>);
@@ -40,7 +44,6 @@
     /** @return whether keys may still be accepted. */
     bool keysAreCurrent() const;
 
-    void setPeerDemands(PeerDemands demands) { m_peerDemands = std::move(demands); }
     /** @param hosts that may be serving, this one included; shares of the retry budget follow it. */
     void setHostCount(size_t hosts) { m_hosts = std::max<size_t>(1, hosts); }
 
@@ -57,7 +60,10 @@
     UsageWindows& usage() { return m_usage; }
     size_t openExchanges() const { return m_open.size(); }
     size_t waitingExchanges() const { return m_waiting.size(); }
-    const std::unordered_map<std::string, QuotaShare>& quotas() const { return m_quotas; }
+    std::unordered_map<std::string, SharedQuota>& quotas() { return m_quotas; }
+    /** @return prompt tokens that this host sends to the service's replicas to be computed, per second. */
+    double promptTokensPerSecond(const std::string& service) const;
+    uint32_t waitingFor(std::string_view service) const;
 
     // For exchanges.
     asio::io_context& context() { return m_context; }
@@ -74,6 +80,7 @@
     bool takeRetry(const std::string& service);
     void refund(const AdmittedRequest&);
     void countRun(const AdmittedRequest&);
+    void noteUnread(const std::string& service, uint32_t tokens);
     const ReplicaHealthOptions& healthOptions() const { return m_healthOptions; }
     bool isServing(const Replica&) const;
 
@@ -91,18 +98,19 @@
     const PlatformAdapter& m_adapter;
     HostLog& m_log;
     ForwardingMetrics& m_metrics;
+    TrueTime& m_time;
     std::shared_ptr<const RoutingTable> m_table;
     std::optional<BootTime> m_provenAt;
     ReplicaDirectory m_replicas;
-    std::unordered_map<std::string, QuotaShare> m_quotas; /**< By customer. */
+    std::unordered_map<std::string, SharedQuota> m_quotas; /**< By customer. */
     std::unordered_map<std::string, RetryBudget> m_retries; /**< By service. */
-    PeerDemands m_peerDemands;
+    std::unordered_map<std::string, ServiceDemand> m_demands; /**< By service. */
     UsageWindows m_usage;
     std::unordered_set<std::shared_ptr<Exchange>> m_open;
     std::list<std::shared_ptr<Exchange>> m_waiting; /**< Most urgent first, then oldest first. */
     PlacementOptions m_placement;
     ReplicaHealthOptions m_healthOptions;
-    QuotaOptions m_quotaOptions;
+    SharedQuotaOptions m_quotaOptions;
     std::mt19937_64 m_random { std::random_device {}() };
     uint64_t m_sequence { 0 };
     size_t m_hosts { 1 };
--- a/packages/forwarding/include/siskinspread/PeerExchange.h
+++ b/packages/forwarding/include/siskinspread/PeerExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/FleetPlan.h"
 #include "siskinspread/Forwarder.h"
 #include "siskinspread/ForwardingSettings.h"
 #include "siskinspread/HostLog.h"
@@ -25,7 +26,7 @@
     std::optional<MonotonicTime> heardAt;
     std::optional<MonotonicTime> sentAt;
     bool stopping { false };
-    std::unordered_map<std::string, double> demands; /**< By customer, per second. */
+    std::map<std::string, schema::ServiceDemandMessage> services; /**< By name. */
     std::optional<uint64_t> askedProofAt; /**< Its clock, to be sent back with the age of this host's proof. */
     uint64_t askedVersion { 0 };
 };
@@ -51,8 +52,10 @@
     /** Says that this host stops; peers then stop to reckon with it. */
     void announceStop();
 
-    /** @return the demands of hosts that may be serving. */
-    std::vector<QuotaPeer> demandsOf(std::string_view customer) const;
+    /** @return what all hosts together ask of the replicas of a service. */
+    FleetDemand demandOf(const std::string& service) const;
+    /** @return whether every host that may be serving was heard within this time. */
+    bool allHeardSince(std::chrono::nanoseconds within) const;
     /** @return names of hosts heard lately, this one included. */
     std::vector<std::string> liveHosts() const;
 
@@ -65,6 +68,7 @@
     void receive();
     void onState(const schema::HostStateMessage&, const asio::ip::udp::endpoint& sender);
     void takeLoads(PeerHost&, const schema::HostStateMessage&);
+    void takeSpending(const schema::HostStateMessage&, MonotonicTime now);
     void takeProof(const schema::HostStateMessage&);
     void takeUsage(const schema::HostStateMessage&);
     void sumLoads();
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -67,6 +67,7 @@
     chosen.ownLoad.requests += 1;
     chosen.ownLoad.unreadTokens += m_attempt.unreadTokens;
     chosen.ownLoad.heldTokens += m_attempt.heldTokens;
+    m_forwarder.noteUnread(m_request.service->name, m_attempt.unreadTokens);
     m_tried.insert(chosen.identity);
     ++m_attempts;
     m_phase = m_phase == Phase::Answering ? Phase::Answering : Phase::Sent;
--- /dev/null
+++ b/packages/forwarding/src/FleetOrders.cpp
@@ -0,0 +1,99 @@
+// The part of DutyDesk that orders replicas.
+#include "siskinspread/DutyDesk.h"
+
+#include <algorithm>
+
+namespace siskinspread {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds planInterval { 500 };
+    constexpr milliseconds repeatInterval { 8000 }; // an order that has not shown its effect by then is given again: twice the usual start
+    constexpr milliseconds dryTime { 2000 }; // before reclaimable replicas are asked for again where there were none
+    // Fewer replicas are ordered only after the need has been lower for this long: a start takes seconds.
+    constexpr milliseconds lowTime { 6000 };
+    constexpr int conflictStatus = 409;
+
+} // namespace
+
+void DutyDesk::tickFleet()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - m_fleetAt < planInterval || !m_forwarder.table() || !m_forwarder.keysAreCurrent()) {
+        return;
+    }
+    m_fleetAt = now;
+    for (const auto& service : m_forwarder.table()->configuration().services) {
+        if (service.fleet && service.engine) {
+            planService(service, now);
+        }
+    }
+}
+
+void DutyDesk::planService(const ServiceProfile& service, MonotonicTime now)
+{
+    const auto& fleet = *service.fleet;
+    const FleetLimits limits { .minPerDomain = fleet.minReplicas, .maxPerDomain = fleet.maxReplicas, .reclaimablePrice = fleet.reclaimablePrice, .slots = service.engine->slots };
+    const auto demand = m_peers.demandOf(service.name);
+    const uint32_t wanted = replicasNeeded(demand, limits, m_fleetOptions);
+    auto [known, isNew] = m_needed.try_emplace(service.name, wanted);
+    if (wanted >= known->second) {
+        known->second = wanted;
+        m_lowSince[service.name] = now;
+    } else if (now - m_lowSince[service.name] > lowTime) {
+        --known->second;
+        m_lowSince[service.name] = now - lowTime + milliseconds { 1000 };
+    }
+    std::vector<DomainFleet> domains;
+    for (const auto& [domain, price] : fleet.domainPrices) {
+        domains.push_back({ .domain = domain, .price = price });
+    }
+    std::sort(domains.begin(), domains.end(), [](const DomainFleet& a, const DomainFleet& b) { return a.domain < b.domain; });
+    for (const auto& wantedThere : planFleet(known->second, domains, limits, m_fleetOptions)) {
+        order({ .service = service.name, .domain = wantedThere.domain, .reclaimable = false }, wantedThere.ordinary, now);
+        if (limits.reclaimablePrice) {
+            order({ .service = service.name, .domain = wantedThere.domain, .reclaimable = true }, wantedThere.reclaimable, now);
+        }
+    }
+}
+
+uint32_t DutyDesk::servingAt(const OrderKey& key) const
+{
+    const auto& replicas = m_forwarder.replicas().ofService(key.service);
+    return static_cast<uint32_t>(std::count_if(replicas.begin(), replicas.end(), [&](const auto& replica) {
+        return replica->entry.failureDomain == key.domain && replica->entry.reclaimable == key.reclaimable && m_forwarder.isServing(*replica);
+    }));
+}
+
+void DutyDesk::order(const OrderKey& key, uint32_t replicas, MonotonicTime now)
+{
+    auto& state = m_orders[key];
+    // An order stands until the next, but what leaves without an order is only sometimes made good.
+    const bool lost = now - state.at > repeatInterval && servingAt(key) < replicas;
+    if (state.open || now < state.dryUntil || (state.known && state.asked == replicas && !lost)) {
+        return;
+    }
+    auto duty = stamp();
+    if (!duty) {
+        return;
+    }
+    state.open = true;
+    state.at = now;
+    m_log.info("replicas ordered", { { "service", key.service }, { "domain", key.domain }, { "reclaimable", key.reclaimable }, { "replicas", replicas }, { "before", state.asked },
+                                       { "needed", m_needed[key.service] }, { "fencing_number", duty->fencingNumber } });
+    const FleetOrder wanted { .service = key.service, .failureDomain = key.domain, .replicas = replicas, .reclaimable = key.reclaimable };
+    m_calls.start("fleet_order", m_adapter.orderReplicas(wanted, *duty), [this, key, replicas](const TransferEnded& ended) {
+        auto& answered = m_orders[key];
+        answered.open = false;
+        answered.known = ended.end == TransferEnd::Complete && ended.status == 200;
+        answered.asked = replicas;
+        if (!answered.known) {
+            answered.dryUntil = std::chrono::steady_clock::now() + (ended.status == conflictStatus ? dryTime : milliseconds { 500 });
+            m_log.warning("order for replicas not taken", { { "service", key.service }, { "domain", key.domain }, { "status", ended.status }, { "why", ended.detail } });
+        }
+    });
+}
+
+} // namespace siskinspread
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/Forwarder.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace siskinspread {
 
@@ -15,6 +16,7 @@
     // Callers who find no configuration come back when the store has usually been read.
     constexpr milliseconds noConfigurationDelay { 500 };
     constexpr size_t maxWaiting = 512;
+    constexpr double demandMemorySeconds = 3.0; // time constant of the smoothed demand: below a replica's start
 
     /** The path of a target without its query. */
     std::string_view pathOf(std::string_view target)
@@ -34,13 +36,13 @@
 
 } // namespace
 
-Forwarder::Forwarder(asio::io_context& context, const ForwardingSettings& settings, const PlatformAdapter& adapter, HostLog& log, ForwardingMetrics& metrics)
+Forwarder::Forwarder(asio::io_context& context, const ForwardingSettings& settings, const PlatformAdapter& adapter, HostLog& log, ForwardingMetrics& metrics, TrueTime& time)
     : m_context(context)
     , m_settings(settings)
     , m_adapter(adapter)
     , m_log(log)
     , m_metrics(metrics)
-    , m_peerDemands([](std::string_view) { return std::vector<QuotaPeer> {}; })
+    , m_time(time)
     , m_usage { .length = settings.bounds.reportWindow }
 {
 }
@@ -151,10 +153,9 @@
         request.quotaCost = request.caller.outputTokens ? request.caller.promptTokens + *request.caller.outputTokens : customer.plainTokens;
     }
     const QuotaLimit limit { .ratePerSecond = customer.ratePerSecond, .burst = customer.burst };
-    auto& share = m_quotas[customer.name];
-    const auto peers = m_peerDemands(customer.name);
-    refreshQuota(share, limit, peers, m_quotaOptions, std::chrono::steady_clock::now());
-    return spendQuota(share, limit, m_quotaOptions, request.quotaCost);
+    auto& quota = m_quotas[customer.name];
+    refreshQuota(quota, limit, m_quotaOptions, std::chrono::steady_clock::now());
+    return spendQuota(quota, limit, request.quotaCost);
 }
 
 void Forwarder::refund(const AdmittedRequest& request)
@@ -167,10 +168,34 @@
 void Forwarder::countRun(const AdmittedRequest& request)
 {
     if (request.customer != nullptr) {
-        countUsage(m_usage, request.customer->name, std::chrono::system_clock::now());
+        countUsage(m_usage, request.customer->name, m_time.now());
     }
 }
 
+void Forwarder::noteUnread(const std::string& service, uint32_t tokens)
+{
+    auto& demand = m_demands[service];
+    const auto now = std::chrono::steady_clock::now();
+    const double seconds = demand.updatedAt ? std::chrono::duration<double>(now - *demand.updatedAt).count() : 0.0;
+    demand.promptTokensPerSecond = demand.promptTokensPerSecond * std::exp(-seconds / demandMemorySeconds) + tokens / demandMemorySeconds;
+    demand.updatedAt = now;
+}
+
+double Forwarder::promptTokensPerSecond(const std::string& service) const
+{
+    auto found = m_demands.find(service);
+    if (found == m_demands.end()) {
+        return 0.0;
+    }
+    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - *found->second.updatedAt).count();
+    return found->second.promptTokensPerSecond * std::exp(-seconds / demandMemorySeconds);
+}
+
+uint32_t Forwarder::waitingFor(std::string_view service) const
+{
+    return static_cast<uint32_t>(std::count_if(m_waiting.begin(), m_waiting.end(), [&](const auto& exchange) { return exchange->request().service->name == service; }));
+}
+
 bool Forwarder::isServing(const Replica& replica) const
 {
     return !replica.gone && !replica.entry.leaving;
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/ForwardingHost.h"
 
 #include "siskinspread/CallerConnection.h"
+#include "siskinspread/DutyDesk.h"
 #include "siskinspread/Forwarder.h"
 #include "siskinspread/HttpServer.h"
 #include "siskinspread/PeerExchange.h"
@@ -32,6 +33,7 @@
     constexpr milliseconds outOfRotation { 3000 };
     constexpr milliseconds stopMargin { 700 };
     constexpr int listenBacklog = 1024;
+    constexpr int64_t keptWindows = 6; // of usage; a report is due well before the last of them
 
 } // namespace
 
@@ -42,10 +44,11 @@
         , m_adapter(std::move(adapter))
         , m_log(HostLogOptions { .host = m_settings.host, .failureDomain = m_settings.failureDomain })
         , m_metrics(m_settings.host, m_settings.failureDomain)
-        , m_forwarder(m_context, m_settings, *m_adapter, m_log, m_metrics)
+        , m_forwarder(m_context, m_settings, *m_adapter, m_log, m_metrics, m_time)
         , m_calls(m_context, m_metrics)
         , m_incarnation((static_cast<uint64_t>(std::random_device {}()) << 32U) | std::random_device {}())
         , m_peers(m_context, m_settings, m_forwarder, m_log, m_incarnation)
+        , m_duties(m_context, m_settings, *m_adapter, m_forwarder, m_peers, m_calls, m_log, m_time, m_incarnation)
         , m_configurationFeed(m_context, m_calls, *m_adapter, { .collection = StoreCollection::Configuration, .purpose = "configuration", .watchWait = configurationWatch }, configurationHandlers())
         , m_replicaFeed(m_context, m_calls, *m_adapter, { .collection = StoreCollection::Replicas, .purpose = "replicas", .watchWait = replicaWatch }, replicaHandlers())
         , m_acceptor(m_context)
@@ -59,7 +62,6 @@
         if (!listen(reason) || !serveReadiness(reason) || !m_peers.start(reason)) {
             return false;
         }
-        m_forwarder.setPeerDemands([this](std::string_view customer) { return m_peers.demandsOf(customer); });
         m_log.info("host started", { { "version", "0.1.0" }, { "callers", m_settings.callers.address + ":" + std::to_string(m_settings.callers.port) }, { "incarnation", m_incarnation } });
         waitForSignal();
         m_configurationFeed.start();
@@ -296,6 +298,12 @@
         const auto now = std::chrono::steady_clock::now();
         m_forwarder.tick(now);
         m_peers.tick(now);
+        if (!m_stopping) {
+            m_duties.tick();
+        }
+        const auto oldestWindow = usageWindowAt(m_time.now(), m_settings.bounds.reportWindow) - keptWindows;
+        forgetUsage(m_forwarder.usage(), oldestWindow);
+        m_peers.forgetUsageBefore(oldestWindow);
         for (const auto& instance : m_forwarder.replicas().removeMissing(now, lapsePatience)) {
             m_log.info("replica gone", { { "replica", instance }, { "why", "its entry did not come back" } });
         }
@@ -356,6 +364,7 @@
         m_ready.store(false, std::memory_order_relaxed);
         m_log.info("stop begins", { { "open_requests", m_forwarder.openExchanges() }, { "grace_ms", m_settings.bounds.stopGrace } });
         m_peers.announceStop();
+        m_duties.release();
     }
 
     /** @return whether the loop has been told to end. */
@@ -386,10 +395,12 @@
     asio::io_context m_context { 1 };
     HostLog m_log;
     ForwardingMetrics m_metrics;
+    TrueTime m_time;
     Forwarder m_forwarder;
     StoreCalls m_calls;
     uint64_t m_incarnation;
     PeerExchange m_peers;
+    DutyDesk m_duties;
     StoreFeed m_configurationFeed;
     StoreFeed m_replicaFeed;
     asio::ip::tcp::acceptor m_acceptor;
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -1,5 +1,7 @@
 #include "siskinspread/PeerExchange.h"
 
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
@@ -97,15 +99,16 @@
     peer.sequence = state.sequence();
     peer.heardAt = now;
     peer.stopping = state.stopping();
-    peer.demands.clear();
-    for (const auto& demand : state.demands()) {
-        peer.demands[demand.customer()] = demand.per_second();
+    peer.services.clear();
+    for (const auto& service : state.services()) {
+        peer.services[service.service()] = service;
     }
     if (state.proof_wanted_at_us() != 0) {
         peer.askedProofAt = state.proof_wanted_at_us();
         peer.askedVersion = state.configuration_version();
     }
     takeLoads(peer, state);
+    takeSpending(state, now);
     takeProof(state);
     takeUsage(state);
 }
@@ -137,6 +140,20 @@
     }
 }
 
+void PeerExchange::takeSpending(const schema::HostStateMessage& state, MonotonicTime now)
+{
+    auto& quotas = m_forwarder.quotas();
+    if (state.stopping()) {
+        for (auto& [customer, quota] : quotas) {
+            notePeerStop(quota, state.host());
+        }
+        return;
+    }
+    for (const auto& spending : state.spending()) {
+        notePeerSpending(quotas[spending.customer()], state.host(), state.incarnation(), spending.spent(), now);
+    }
+}
+
 void PeerExchange::takeProof(const schema::HostStateMessage& state)
 {
     const auto& table = m_forwarder.table();
@@ -184,11 +201,17 @@
             load.set_held_tokens(replica->ownLoad.heldTokens);
         }
     }
-    for (const auto& [customer, share] : m_forwarder.quotas()) {
-        if (share.demandPerSecond > 1) {
-            auto& demand = *state.add_demands();
-            demand.set_customer(customer);
-            demand.set_per_second(share.demandPerSecond);
+    for (const auto& [customer, quota] : m_forwarder.quotas()) {
+        auto& spending = *state.add_spending();
+        spending.set_customer(customer);
+        spending.set_spent(quota.spent);
+    }
+    if (m_forwarder.table()) {
+        for (const auto& service : m_forwarder.table()->configuration().services) {
+            auto& demand = *state.add_services();
+            demand.set_service(service.name);
+            demand.set_prompt_tokens_per_second(m_forwarder.promptTokensPerSecond(service.name));
+            demand.set_waiting(m_forwarder.waitingFor(service.name));
         }
     }
     size_t told = 0;
@@ -262,17 +285,26 @@
     return !peer.stopping && isRecent(peer.heardAt, now, quietTime);
 }
 
-std::vector<QuotaPeer> PeerExchange::demandsOf(std::string_view customer) const
+FleetDemand PeerExchange::demandOf(const std::string& service) const
 {
     const auto now = std::chrono::steady_clock::now();
-    std::vector<QuotaPeer> demands;
+    FleetDemand demand { .promptTokensPerSecond = m_forwarder.promptTokensPerSecond(service), .requests = static_cast<double>(m_forwarder.waitingFor(service)) };
     for (const auto& [host, peer] : m_peers) {
-        if (mayServe(peer, now)) {
-            auto found = peer.demands.find(std::string { customer });
-            demands.push_back({ .demandPerSecond = found == peer.demands.end() ? 0.0 : found->second });
+        if (auto told = peer.services.find(service); told != peer.services.end() && mayServe(peer, now)) {
+            demand.promptTokensPerSecond += told->second.prompt_tokens_per_second();
+            demand.requests += told->second.waiting();
         }
     }
-    return demands;
+    for (const auto& replica : m_forwarder.replicas().ofService(service)) {
+        demand.requests += replica->ownLoad.requests + replica->peerLoad.requests;
+    }
+    return demand;
+}
+
+bool PeerExchange::allHeardSince(std::chrono::nanoseconds within) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return !mayServe(entry.second, now) || now - *entry.second.heardAt < within; });
 }
 
 std::vector<std::string> PeerExchange::liveHosts() const
