Start the fleet plan from the replicas that are there

Ruled out: slow starts; the replicas that came later served at once. Change: the need begins at 0.7 of the replicas found and is lowered only after 12 s.

--- a/packages/forwarding/src/FleetOrders.cpp
+++ b/packages/forwarding/src/FleetOrders.cpp
@@ -15,6 +15,8 @@
     // Fewer replicas are ordered only after the need has been lower for this long: a start takes seconds.
     constexpr milliseconds lowTime { 6000 };
     constexpr int conflictStatus = 409;
+    constexpr double adoptedShare = 0.7; // of the replicas that a new holder finds, as the need that it starts from
+    constexpr milliseconds measuringTime { 12000 }; // before the need that a new holder started from is lowered
 
 } // namespace
 
@@ -38,7 +40,12 @@
     const FleetLimits limits { .minPerDomain = fleet.minReplicas, .maxPerDomain = fleet.maxReplicas, .reclaimablePrice = fleet.reclaimablePrice, .slots = service.engine->slots };
     const auto demand = m_peers.demandOf(service.name);
     const uint32_t wanted = replicasNeeded(demand, limits, m_fleetOptions);
-    auto [known, isNew] = m_needed.try_emplace(service.name, wanted);
+    // What a new holder finds was enough for the load so far, which it has not measured yet.
+    const auto serving = m_forwarder.replicas().ofService(service.name).size();
+    auto [known, isNew] = m_needed.try_emplace(service.name, std::max(wanted, static_cast<uint32_t>(static_cast<double>(serving) * adoptedShare)));
+    if (isNew) {
+        m_lowSince[service.name] = now + measuringTime;
+    }
     if (wanted >= known->second) {
         known->second = wanted;
         m_lowSince[service.name] = now;
