Hold and refuse requests before the engines' queues grow; order ordinary replicas where reclaimable ones are not to be had

Ruled out: urgency at the engine: the most urgent kind waited as long as the others there. Change: a decision sends, holds or refuses by the queue ahead; the plan counts what reclaimable replicas are left when dry.

--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -23,16 +23,19 @@
     if (domains.empty()) {
         return orders;
     }
+    uint32_t expected = 0; // reclaimable replicas that will be there
     const bool reclaimableOffered = limits.reclaimablePrice.has_value() && *limits.reclaimablePrice < 1.0;
     if (reclaimableOffered) {
         const auto wanted = static_cast<uint32_t>(std::ceil(needed * options.reclaimableShare));
         const auto each = static_cast<uint32_t>((wanted + domains.size() - 1) / domains.size());
-        for (auto& order : orders) {
+        for (size_t index = 0; index < orders.size(); ++index) {
+            auto& order = orders[index];
             order.reclaimable = std::min(limits.maxPerDomain, std::max(1U, each));
+            expected += domains[index].reclaimableDry ? std::min(order.reclaimable, domains[index].reclaimable) : order.reclaimable;
         }
     }
     const double share = reclaimableOffered ? options.ordinaryShare : 1.0;
-    auto ordinary = std::max(options.fewestOrdinary, static_cast<uint32_t>(std::ceil(needed * share)));
+    auto ordinary = std::max({ options.fewestOrdinary, static_cast<uint32_t>(std::ceil(needed * share)), needed - std::min(needed, expected) });
     std::vector<size_t> byPrice(domains.size());
     std::iota(byPrice.begin(), byPrice.end(), size_t { 0 });
     std::stable_sort(byPrice.begin(), byPrice.end(), [&](size_t a, size_t b) { return domains[a].price < domains[b].price; });
--- a/packages/decisions/src/ReplicaPlacement.cpp
+++ b/packages/decisions/src/ReplicaPlacement.cpp
@@ -97,9 +97,13 @@
     }
     size_t chosen = equal[request.draw % equal.size()];
     const auto& candidate = candidates[chosen];
-    double waitUs = (static_cast<double>(candidate.load.unreadTokens) + unread[chosen]) / options.promptTokensPerMs * 1000.0
-        + static_cast<double>(candidate.load.requests * options.batchCost.count());
-    return Placement { .index = chosen, .predictedWait = std::chrono::microseconds { static_cast<int64_t>(waitUs * candidate.slowness) }, .unreadTokens = unread[chosen] };
+    const double usPerToken = 1000.0 / options.promptTokensPerMs * candidate.slowness;
+    const double aheadUs = static_cast<double>(candidate.load.unreadTokens) * usPerToken;
+    const double waitUs = aheadUs + unread[chosen] * usPerToken + static_cast<double>(candidate.load.requests * options.batchCost.count()) * candidate.slowness;
+    return Placement { .index = chosen,
+        .predictedWait = std::chrono::microseconds { static_cast<int64_t>(waitUs) },
+        .queueAhead = std::chrono::microseconds { static_cast<int64_t>(aheadUs) },
+        .unreadTokens = unread[chosen] };
 }
 
 } // namespace siskinspread
--- a/packages/forwarding/include/siskinspread/DutyDesk.h
+++ b/packages/forwarding/include/siskinspread/DutyDesk.h
@@ -44,7 +44,9 @@
     };
     struct OrderState {
         uint32_t asked { 0 };
+        uint32_t serving { 0 }; /**< When this was last looked at. */
         bool known { false };
+        bool dry { false }; /**< The last order was refused, since no more are to be had. */
         bool open { false };
         MonotonicTime at {};
         MonotonicTime dryUntil {};
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "siskinspread/BootClock.h"
+#include "siskinspread/EngineAdmission.h"
 #include "siskinspread/Exchange.h"
 #include "siskinspread/ForwardingMetrics.h"
 #include "siskinspread/ForwardingSettings.h"
@@ -91,7 +92,9 @@
     std::optional<AdmittedRequest> admit(ReceivedRequest&&);
     const Customer* identify(AdmittedRequest&, bool& refused);
     std::optional<std::chrono::milliseconds> overQuota(AdmittedRequest&);
+    /** @return whether the request was sent or answered; otherwise it waits. */
     bool dispatch(const std::shared_ptr<Exchange>&);
+    static EngineRequest engineRequest(const Exchange&, const Placement&, const std::vector<PlacementCandidate>&, MonotonicTime now);
     std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now) const;
     void refuse(const ReceivedRequest&, std::string_view attemptId, ResultCode, int status, std::chrono::milliseconds retryAfter, std::string_view why);
     std::chrono::milliseconds comeBackAfter(const Exchange&) const;
@@ -112,6 +115,7 @@
     std::unordered_set<std::shared_ptr<Exchange>> m_open;
     std::list<std::shared_ptr<Exchange>> m_waiting; /**< Most urgent first, then oldest first. */
     PlacementOptions m_placement;
+    EngineAdmissionOptions m_engineAdmission;
     ReplicaHealthOptions m_healthOptions;
     SharedQuotaOptions m_quotaOptions;
     std::mt19937_64 m_random { std::random_device {}() };
--- a/packages/forwarding/src/FleetOrders.cpp
+++ b/packages/forwarding/src/FleetOrders.cpp
@@ -55,7 +55,8 @@
     }
     std::vector<DomainFleet> domains;
     for (const auto& [domain, price] : fleet.domainPrices) {
-        domains.push_back({ .domain = domain, .price = price });
+        const OrderKey reclaimable { .service = service.name, .domain = domain, .reclaimable = true };
+        domains.push_back({ .domain = domain, .price = price, .reclaimable = servingAt(reclaimable), .reclaimableDry = m_orders[reclaimable].dry });
     }
     std::sort(domains.begin(), domains.end(), [](const DomainFleet& a, const DomainFleet& b) { return a.domain < b.domain; });
     for (const auto& wantedThere : planFleet(known->second, domains, limits, m_fleetOptions)) {
@@ -78,7 +79,9 @@
 {
     auto& state = m_orders[key];
     // An order stands until the next, but what leaves without an order is only sometimes made good.
-    const bool lost = now - state.at > repeatInterval && servingAt(key) < replicas;
+    const uint32_t serving = servingAt(key);
+    const bool lost = serving < replicas && (now - state.at > repeatInterval || serving < state.serving);
+    state.serving = serving;
     if (state.open || now < state.dryUntil || (state.known && state.asked == replicas && !lost)) {
         return;
     }
@@ -96,6 +99,7 @@
         answered.open = false;
         answered.known = ended.end == TransferEnd::Complete && ended.status == 200;
         answered.asked = replicas;
+        answered.dry = ended.status == conflictStatus;
         if (!answered.known) {
             answered.dryUntil = std::chrono::steady_clock::now() + (ended.status == conflictStatus ? dryTime : milliseconds { 500 });
             m_log.warning("order for replicas not taken", { { "service", key.service }, { "domain", key.domain }, { "status", ended.status }, { "why", ended.detail } });
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -223,6 +223,24 @@
     return usable;
 }
 
+EngineRequest Forwarder::engineRequest(const Exchange& exchange, const Placement& placement, const std::vector<PlacementCandidate>& candidates, MonotonicTime now)
+{
+    using std::chrono::microseconds;
+    const auto& request = exchange.request();
+    uint64_t taken = 0;
+    uint64_t places = 0;
+    for (const auto& candidate : candidates) {
+        taken += candidate.load.requests;
+        places += candidate.slots;
+    }
+    return { .queueAhead = placement.queueAhead,
+        .ownReading = placement.predictedWait - placement.queueAhead,
+        .waited = std::chrono::duration_cast<microseconds>(now - request.received.startedAt),
+        .target = std::chrono::duration_cast<microseconds>(request.targetAt - request.received.startedAt),
+        .urgency = exchange.urgency(),
+        .placesFree = taken * 2 < places };
+}
+
 bool Forwarder::dispatch(const std::shared_ptr<Exchange>& exchange)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -248,6 +266,16 @@
     if (!placement) {
         return false;
     }
+    if (request.service->engine && !exchange->isAnswering()) {
+        const auto verdict = admitToEngine(engineRequest(*exchange, *placement, candidates, now), m_engineAdmission);
+        if (verdict == EngineVerdict::Hold) {
+            return false;
+        }
+        if (verdict == EngineVerdict::Refuse) {
+            exchange->refuse(ResultCode::LoadShed, comeBackAfter(*exchange), "the engines' queues are too long for an answer in time");
+            return true;
+        }
+    }
     exchange->sendTo(replicas[placement->index], *placement);
     return true;
 }
