Let ordinary replicas leave only when their replacements serve

Ruled out: a low estimate under load; the need followed the load within 2 s. Change: plans wait for replicas that have settled or for load; what leaves is bounded by what serves.

--- a/packages/forwarding/include/siskinspread/DutyDesk.h
+++ b/packages/forwarding/include/siskinspread/DutyDesk.h
@@ -67,6 +67,8 @@
 
     void tickFleet();
     void planService(const ServiceProfile&, MonotonicTime now);
+    bool isSettled(const std::string& service, uint32_t serving, const FleetDemand&, MonotonicTime now);
+    void keepUntilReplaced(const std::string& service, uint32_t needed, std::vector<DomainOrder>& orders) const;
     uint32_t servingAt(const OrderKey&) const;
     void order(const OrderKey&, uint32_t replicas, MonotonicTime now);
 
@@ -94,6 +96,12 @@
     MonotonicTime m_fleetAt {};
     std::map<std::string, MonotonicTime> m_lowSince; /**< By service: since when fewer replicas would do. */
     std::map<std::string, uint32_t> m_needed;
+    struct Settling {
+        uint32_t replicas { 0 };
+        MonotonicTime since {};
+        bool done { false };
+    };
+    std::map<std::string, Settling> m_settling; /**< By service. */
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/src/FleetOrders.cpp
+++ b/packages/forwarding/src/FleetOrders.cpp
@@ -15,6 +15,7 @@
     // Fewer replicas are ordered only after the need has been lower for this long: a start takes seconds.
     constexpr milliseconds lowTime { 6000 };
     constexpr int conflictStatus = 409;
+    constexpr milliseconds settlingTime { 3000 }; // without a new replica, after which those that are there are taken for all
     constexpr double adoptedShare = 0.7; // of the replicas that a new holder finds, as the need that it starts from
     constexpr milliseconds measuringTime { 12000 }; // before the need that a new holder started from is lowered
 
@@ -41,7 +42,10 @@
     const auto demand = m_peers.demandOf(service.name);
     const uint32_t wanted = replicasNeeded(demand, limits, m_fleetOptions);
     // What a new holder finds was enough for the load so far, which it has not measured yet.
-    const auto serving = m_forwarder.replicas().ofService(service.name).size();
+    const auto serving = static_cast<uint32_t>(m_forwarder.replicas().ofService(service.name).size());
+    if (!isSettled(service.name, serving, demand, now)) {
+        return;
+    }
     auto [known, isNew] = m_needed.try_emplace(service.name, std::max(wanted, static_cast<uint32_t>(static_cast<double>(serving) * adoptedShare)));
     if (isNew) {
         m_lowSince[service.name] = now + measuringTime;
@@ -59,7 +63,9 @@
         domains.push_back({ .domain = domain, .price = price, .reclaimable = servingAt(reclaimable), .reclaimableDry = m_orders[reclaimable].dry });
     }
     std::sort(domains.begin(), domains.end(), [](const DomainFleet& a, const DomainFleet& b) { return a.domain < b.domain; });
-    for (const auto& wantedThere : planFleet(known->second, domains, limits, m_fleetOptions)) {
+    auto orders = planFleet(known->second, domains, limits, m_fleetOptions);
+    keepUntilReplaced(service.name, known->second, orders);
+    for (const auto& wantedThere : orders) {
         order({ .service = service.name, .domain = wantedThere.domain, .reclaimable = false }, wantedThere.ordinary, now);
         if (limits.reclaimablePrice) {
             order({ .service = service.name, .domain = wantedThere.domain, .reclaimable = true }, wantedThere.reclaimable, now);
@@ -67,6 +73,36 @@
     }
 }
 
+/** Replicas that are all still starting, or not listed yet, tell nothing of what is needed. */
+bool DutyDesk::isSettled(const std::string& service, uint32_t serving, const FleetDemand& demand, MonotonicTime now)
+{
+    auto& settling = m_settling[service];
+    if (serving != settling.replicas) {
+        settling = { .replicas = serving, .since = now, .done = settling.done };
+    }
+    settling.done = settling.done || demand.requests > 0 || (serving > 0 && now - settling.since > settlingTime);
+    return settling.done;
+}
+
+/** Ordinary replicas leave only when as many others serve as are needed: a start takes seconds. */
+void DutyDesk::keepUntilReplaced(const std::string& service, uint32_t needed, std::vector<DomainOrder>& orders) const
+{
+    uint32_t serving = 0;
+    for (const auto& there : orders) {
+        serving += servingAt({ .service = service, .domain = there.domain, .reclaimable = false });
+        serving += std::min(there.reclaimable, servingAt({ .service = service, .domain = there.domain, .reclaimable = true }));
+    }
+    uint32_t mayLeave = serving - std::min(serving, needed);
+    for (auto& there : orders) {
+        const uint32_t now = servingAt({ .service = service, .domain = there.domain, .reclaimable = false });
+        if (now > there.ordinary) {
+            const uint32_t leaving = std::min(mayLeave, now - there.ordinary);
+            mayLeave -= leaving;
+            there.ordinary = now - leaving;
+        }
+    }
+}
+
 uint32_t DutyDesk::servingAt(const OrderKey& key) const
 {
     const auto& replicas = m_forwarder.replicas().ofService(key.service);
