--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -15,7 +15,7 @@
 #
 # Builds siskinspread_NAME from src/*.cpp with the public headers in include/, and, where tests/*Test.cpp exist, the
 # test program NAME_tests. A test file whose name ends in ThreadTest.cpp starts threads: it goes to NAME_thread_tests,
-# labelled "threads", which CI also runs under ThreadSanitizer. Other files in tests/ go into NAME_tests.
+# labelled "threads", which CI also runs under ThreadSanitizer. Other files in tests/ go into both.
 function(siskinspread_package NAME)
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
   set(target siskinspread_${NAME})
@@ -44,7 +44,7 @@
     siskinspread_test_program(${NAME}_tests "" ${target} ${tests} ${test_support})
   endif()
   if(thread_tests)
-    siskinspread_test_program(${NAME}_thread_tests "threads" ${target} ${thread_tests})
+    siskinspread_test_program(${NAME}_thread_tests "threads" ${target} ${thread_tests} ${test_support})
   endif()
 endfunction()
 
--- a/packages/forwarding/include/siskinspread/DutyDesk.h
+++ b/packages/forwarding/include/siskinspread/DutyDesk.h
@@ -61,6 +61,7 @@
 
     void tickUsage();
     void readUsage();
+    void takeDecided(const std::string& name, const nlohmann::json& counts);
     void decideWindow(int64_t window);
     void writeUsage();
     void reportWindow(int64_t window, DecidedWindow&);
--- a/packages/forwarding/src/DutyDesk.cpp
+++ b/packages/forwarding/src/DutyDesk.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/DutyDesk.h"
 
 #include "siskinspread/DutyRank.h"
+#include "siskinspread/JsonFields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,10 +27,7 @@
 
     LeaseRecord leaseRecord(const nlohmann::json& content)
     {
-        if (!content.is_object()) {
-            return {};
-        }
-        return { .holder = content.value("holder", std::string {}), .fencingNumber = content.value("fencing_number", uint64_t { 0 }), .writeId = content.value("write", std::string {}) };
+        return { .holder = textField(content, "holder"), .fencingNumber = countField(content, "fencing_number", 0), .writeId = textField(content, "write") };
     }
 
 } // namespace
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -4,6 +4,7 @@
 #include "siskinspread/DutyDesk.h"
 #include "siskinspread/Forwarder.h"
 #include "siskinspread/HttpServer.h"
+#include "siskinspread/JsonFields.h"
 #include "siskinspread/PeerExchange.h"
 #include "siskinspread/StoreCalls.h"
 #include "siskinspread/StoreFeed.h"
@@ -192,7 +193,7 @@
                 later(milliseconds { 500 }, [this] { registerHost(); });
                 return;
             }
-            if (document->content.value("address", std::string {}) == m_settings.callers.address) {
+            if (textField(document->content, "address") == m_settings.callers.address) {
                 listHosts();
                 return;
             }
@@ -207,9 +208,7 @@
             auto page = m_adapter->storeAnswer(ended, false) == StoreAnswer::Done ? m_adapter->decodePage(ended, reason) : std::nullopt;
             if (page) {
                 for (const auto& document : page->documents) {
-                    if (document.content.is_object()) {
-                        m_peers.addPeer(document.name, document.content.value("address", std::string {}), document.content.value("port", uint16_t { 0 }));
-                    }
+                    m_peers.addPeer(document.name, textField(document.content, "address"), static_cast<uint16_t>(countField(document.content, "port", 0)));
                 }
             }
             later(page ? hostListInterval : milliseconds { 1000 }, [this] { listHosts(); });
--- a/packages/forwarding/src/UsageReports.cpp
+++ b/packages/forwarding/src/UsageReports.cpp
@@ -1,7 +1,9 @@
 // The part of DutyDesk that reports usage.
 #include "siskinspread/DutyDesk.h"
 
-#include <nlohmann/json.hpp>
+#include "siskinspread/JsonFields.h"
+
+#include <charconv>
 
 namespace siskinspread {
 
@@ -70,14 +72,27 @@
         }
         m_usageRevision = document->revision;
         for (const auto& [name, counts] : document->content.items()) {
-            const int64_t window = std::stoll(name);
-            m_unwritten.erase(window);
-            m_windows[window].counts = counts.get<WindowCounts>();
-            m_firstWindow = std::min(m_firstWindow.value_or(window), window);
+            takeDecided(name, counts);
         }
     });
 }
 
+void DutyDesk::takeDecided(const std::string& name, const nlohmann::json& counts)
+{
+    int64_t window = 0;
+    if (std::from_chars(name.data(), name.data() + name.size(), window).ec != std::errc {} || !counts.is_object()) {
+        m_log.warning("decided usage passed over", { { "window", name }, { "why", "unreadable" } });
+        return;
+    }
+    auto& decided = m_windows[window].counts;
+    decided.clear();
+    for (const auto& [customer, count] : counts.items()) {
+        decided[customer] = countField(counts, customer.c_str(), 0);
+    }
+    m_unwritten.erase(window);
+    m_firstWindow = std::min(m_firstWindow.value_or(window), window);
+}
+
 void DutyDesk::decideWindow(int64_t window)
 {
     if (m_windows.contains(window)) {
