--- a/packages/decisions/include/siskinspread/SharedQuota.h
+++ b/packages/decisions/include/siskinspread/SharedQuota.h
@@ -16,6 +16,21 @@
     double burst { 0 };
 };
 
+/** What may be spent beyond a limit in any window, and how much of that is given away on purpose. */
+struct QuotaTolerance {
+    double slack { 0 }; /**< In the unit of the limit. */
+    double overshoot { 0 }; /**< As a share of the limit. */
+    std::chrono::milliseconds window { 8000 };
+    /**
+     * Part of the slack and the overshoot that is added to the limit, so that a caller within its limit is not refused for
+     * what hosts do not know of each other yet. The rest covers what hosts spend before they hear of each other.
+     */
+    double givenPart { 0.4 };
+};
+
+/** @return the limit with what is given away of the tolerance. No limit stays none. Thread safety: reentrant. */
+QuotaLimit limitWithTolerance(const QuotaLimit&, const QuotaTolerance&);
+
 /** What another host has told of its spending. */
 struct QuotaPeer {
     uint64_t incarnation { 0 };
--- a/packages/decisions/src/SharedQuota.cpp
+++ b/packages/decisions/src/SharedQuota.cpp
@@ -21,6 +21,16 @@
 
 } // namespace
 
+QuotaLimit limitWithTolerance(const QuotaLimit& limit, const QuotaTolerance& tolerance)
+{
+    if (limit.ratePerSecond <= 0) {
+        return limit;
+    }
+    const double seconds = std::chrono::duration<double>(tolerance.window).count();
+    const double more = tolerance.givenPart * (tolerance.slack / seconds + tolerance.overshoot * limit.ratePerSecond);
+    return { .ratePerSecond = limit.ratePerSecond + more, .burst = limit.burst };
+}
+
 void refreshQuota(SharedQuota& quota, const QuotaLimit& limit, const SharedQuotaOptions& options, MonotonicTime now)
 {
     if (!quota.updatedAt) {
--- a/packages/decisions/tests/SharedQuotaTest.cpp
+++ b/packages/decisions/tests/SharedQuotaTest.cpp
@@ -85,6 +85,15 @@
     CHECK(total <= 10 * limit.ratePerSecond + limit.burst * 1.6 + 2 * limit.ratePerSecond);
 }
 
+TEST_CASE("what is given away of the tolerance leaves room for what hosts do not know of each other")
+{
+    const QuotaTolerance tolerance { .slack = 800, .overshoot = 0.1, .window = milliseconds { 8000 } };
+    const auto wider = limitWithTolerance(limit, tolerance);
+    CHECK(wider.ratePerSecond > limit.ratePerSecond);
+    CHECK(8 * wider.ratePerSecond + wider.burst < (8 * limit.ratePerSecond + limit.burst) * 1.1 + 800);
+    CHECK(limitWithTolerance({}, tolerance).ratePerSecond == doctest::Approx(0));
+}
+
 TEST_CASE("a request larger than the burst is admitted and paid back")
 {
     SharedQuota quota;
--- a/packages/forwarding/include/siskinspread/ForwardingSettings.h
+++ b/packages/forwarding/include/siskinspread/ForwardingSettings.h
@@ -27,7 +27,8 @@
     double retryRatio { 0.2 }; /**< Further attempts over requests, for all hosts together. */
     double retrySlack { 50 };
     std::chrono::milliseconds retryWindow { 10000 };
-    double quotaSlack { 0 };
+    double quotaSlack { 0 }; /**< That customers may spend beyond their limits in a window, in the unit of the limit. */
+    double quotaOvershoot { 0 }; /**< The same as a share of the limit. */
     std::chrono::milliseconds quotaWindow { 8000 };
 };
 
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -157,7 +157,8 @@
     if (customer.countsTokens) {
         request.quotaCost = request.caller.outputTokens ? request.caller.promptTokens + *request.caller.outputTokens : customer.plainTokens;
     }
-    const QuotaLimit limit { .ratePerSecond = customer.ratePerSecond, .burst = customer.burst };
+    const auto& bounds = m_settings.bounds;
+    const auto limit = limitWithTolerance({ .ratePerSecond = customer.ratePerSecond, .burst = customer.burst }, { .slack = bounds.quotaSlack, .overshoot = bounds.quotaOvershoot, .window = bounds.quotaWindow });
     auto& quota = m_quotas[customer.name];
     refreshQuota(quota, limit, m_quotaOptions, std::chrono::steady_clock::now());
     return spendQuota(quota, limit, request.quotaCost);
