Doubt failure domains that seem cut off, and send callers elsewhere before keys have to be refused

Ruled out: slow replicas; the same replicas answered their own zone. Change: a decision over what hosts and replicas of a domain were heard; such replicas only where there are no others; not ready and connections told to close once the proof of currency is 2.6 s old.

--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "siskinspread/BootClock.h"
+#include "siskinspread/DomainReach.h"
 #include "siskinspread/EngineAdmission.h"
 #include "siskinspread/Exchange.h"
 #include "siskinspread/ForwardingMetrics.h"
@@ -87,6 +88,7 @@
     void noteUnread(const std::string& service, uint32_t tokens);
     const ReplicaHealthOptions& healthOptions() const { return m_healthOptions; }
     bool isServing(const Replica&) const;
+    DomainReach& reachOf(const std::string& failureDomain) { return m_reach[failureDomain]; }
 
 private:
     std::optional<AdmittedRequest> admit(ReceivedRequest&&);
@@ -95,6 +97,7 @@
     /** @return whether the request was sent or answered; otherwise it waits. */
     bool dispatch(const std::shared_ptr<Exchange>&);
     static EngineRequest engineRequest(const Exchange&, const Placement&, const std::vector<PlacementCandidate>&, MonotonicTime now);
+    void reviewReach(MonotonicTime now);
     std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now) const;
     void refuse(const ReceivedRequest&, std::string_view attemptId, ResultCode, int status, std::chrono::milliseconds retryAfter, std::string_view why);
     std::chrono::milliseconds comeBackAfter(const Exchange&) const;
@@ -114,6 +117,9 @@
     UsageWindows m_usage;
     std::unordered_set<std::shared_ptr<Exchange>> m_open;
     std::list<std::shared_ptr<Exchange>> m_waiting; /**< Most urgent first, then oldest first. */
+    std::unordered_map<std::string, DomainReach> m_reach; /**< By failure domain. */
+    std::unordered_set<std::string> m_doubted; /**< Failure domains whose paths are doubted. */
+    DomainReachOptions m_reachOptions;
     PlacementOptions m_placement;
     EngineAdmissionOptions m_engineAdmission;
     ReplicaHealthOptions m_healthOptions;
--- a/packages/forwarding/include/siskinspread/PeerExchange.h
+++ b/packages/forwarding/include/siskinspread/PeerExchange.h
@@ -21,6 +21,7 @@
 /** What another host has said of itself. */
 struct PeerHost {
     asio::ip::udp::endpoint endpoint;
+    std::string failureDomain;
     uint64_t incarnation { 0 };
     uint64_t sequence { 0 };
     std::optional<MonotonicTime> heardAt;
@@ -72,6 +73,7 @@
     void takeProof(const schema::HostStateMessage&);
     void takeUsage(const schema::HostStateMessage&);
     void sumLoads();
+    void forgetStopped(const std::string& failureDomain, MonotonicTime now);
     schema::HostStateMessage ownState() const;
     void sendTo(PeerHost&, schema::HostStateMessage&, MonotonicTime now);
     bool mayServe(const PeerHost&, MonotonicTime now) const;
--- a/packages/forwarding/include/siskinspread/ReplicaConnection.h
+++ b/packages/forwarding/include/siskinspread/ReplicaConnection.h
@@ -16,6 +16,7 @@
 /** Why a request at a replica ended without a whole answer. */
 enum class ReplicaFailure : uint8_t {
     ConnectFailed, /**< No byte was sent: the request did not arrive. */
+    ConnectTimedOut, /**< As ConnectFailed: nothing answered. */
     Closed, /**< The replica closed the connection; the request may have run. */
     Reset, /**< As Closed, by a reset or an error of the network. */
     Unreadable, /**< What arrived is no answer; the request may have run. */
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -18,6 +18,23 @@
     constexpr uint32_t maxNotArrived = 4; // replicas that are tried for one request when none takes the connection
     constexpr uint32_t maxUrgency = 9;
 
+    std::string_view nameOf(ReplicaFailure failure)
+    {
+        switch (failure) {
+        case ReplicaFailure::ConnectFailed:
+            return "connect_failed";
+        case ReplicaFailure::ConnectTimedOut:
+            return "connect_timed_out";
+        case ReplicaFailure::Closed:
+            return "closed";
+        case ReplicaFailure::Reset:
+            return "reset";
+        case ReplicaFailure::Unreadable:
+            break;
+        }
+        return "unreadable";
+    }
+
     milliseconds sinceMs(MonotonicTime from, MonotonicTime to)
     {
         return std::chrono::duration_cast<milliseconds>(to - from);
@@ -99,6 +116,7 @@
 bool Exchange::onAnswerHead(AnswerHead&& head)
 {
     const auto answer = m_forwarder.adapter().decodeAnswer(head);
+    noteDomainBytes(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
     if (answer.attemptId != m_request.caller.attemptId && !(answer.attemptId.empty() && answer.notExecuted)) {
         if (!answer.attemptId.empty()) {
             m_forwarder.log().warning("answer to another request skipped", { { "attempt", m_request.caller.attemptId }, { "answer_to", answer.attemptId }, { "replica", m_attempt.replica->entry.instance } });
@@ -182,6 +200,7 @@
         m_body.append(bytes);
         return;
     }
+    noteDomainBytes(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
     if (m_request.route->resumable) {
         passOn(m_events.take(bytes));
     } else {
@@ -282,8 +301,11 @@
         return;
     }
     noteFailure(m_attempt.replica->health, m_forwarder.healthOptions(), std::chrono::steady_clock::now());
-    m_forwarder.log().warning("replica broke off", { { "attempt", m_request.caller.attemptId }, { "replica", m_attempt.replica->entry.instance }, { "how", static_cast<int>(failure) }, { "after_ms", sinceMs(m_attempt.sentAt, std::chrono::steady_clock::now()) }, { "new_connection", m_attempt.newConnection } });
-    const bool arrived = failure != ReplicaFailure::ConnectFailed;
+    m_forwarder.log().warning("replica broke off", { { "attempt", m_request.caller.attemptId }, { "replica", m_attempt.replica->entry.instance }, { "how", nameOf(failure) }, { "after_ms", sinceMs(m_attempt.sentAt, std::chrono::steady_clock::now()) }, { "new_connection", m_attempt.newConnection } });
+    if (failure == ReplicaFailure::ConnectTimedOut) {
+        noteDomainTimeout(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
+    }
+    const bool arrived = failure != ReplicaFailure::ConnectFailed && failure != ReplicaFailure::ConnectTimedOut;
     if (arrived) {
         m_run = m_run == RunState::Ran ? RunState::Ran : RunState::MayHaveRun;
         if (!m_usageCounted) {
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -161,7 +161,11 @@
     const auto limit = limitWithTolerance({ .ratePerSecond = customer.ratePerSecond, .burst = customer.burst }, { .slack = bounds.quotaSlack, .overshoot = bounds.quotaOvershoot, .window = bounds.quotaWindow });
     auto& quota = m_quotas[customer.name];
     refreshQuota(quota, limit, m_quotaOptions, std::chrono::steady_clock::now());
-    return spendQuota(quota, limit, request.quotaCost);
+    auto wait = spendQuota(quota, limit, request.quotaCost);
+    if (wait) {
+        m_log.info("customer over its limit", { { "attempt", request.caller.attemptId }, { "customer", customer.name }, { "cost", request.quotaCost }, { "level", quota.level }, { "rate_per_s", limit.ratePerSecond }, { "burst", limit.burst }, { "peers_known", quota.peers.size() } });
+    }
+    return wait;
 }
 
 void Forwarder::refund(const AdmittedRequest& request)
@@ -211,11 +215,19 @@
 {
     std::vector<std::shared_ptr<Replica>> usable;
     std::vector<std::shared_ptr<Replica>> heldOut;
+    std::vector<std::shared_ptr<Replica>> doubted;
     for (const auto& replica : m_replicas.ofService(exchange.request().service->name)) {
         if (!isServing(*replica) || exchange.wasSentTo(replica->identity)) {
             continue;
         }
-        (isUsable(replica->health, now) ? usable : heldOut).push_back(replica);
+        if (m_doubted.contains(replica->entry.failureDomain)) {
+            doubted.push_back(replica);
+        } else {
+            (isUsable(replica->health, now) ? usable : heldOut).push_back(replica);
+        }
+    }
+    if (usable.empty() && heldOut.empty()) {
+        return doubted;
     }
     // When most replicas seem bad, it is more likely what lies between that is.
     if (usable.size() < heldOut.size()) {
@@ -372,8 +384,26 @@
     return withdrawRetryToken(budget, {}, std::chrono::steady_clock::now());
 }
 
+void Forwarder::reviewReach(MonotonicTime now)
+{
+    for (const auto& [domain, reach] : m_reach) {
+        const bool doubted = domain != m_settings.failureDomain && isReachDoubted(reach, m_reachOptions, now);
+        if (doubted == m_doubted.contains(domain)) {
+            continue;
+        }
+        auto age = [&](const std::optional<MonotonicTime>& at) { return at ? std::chrono::duration_cast<milliseconds>(now - *at) : milliseconds { -1 }; };
+        m_log.warning(doubted ? "failure domain doubted" : "failure domain reached", { { "domain", domain }, { "hosts_heard_ms", age(reach.peerHeardAt) }, { "replicas_heard_ms", age(reach.bytesAt) }, { "timeouts", reach.timeouts } });
+        if (doubted) {
+            m_doubted.insert(domain);
+        } else {
+            m_doubted.erase(domain);
+        }
+    }
+}
+
 void Forwarder::tick(MonotonicTime now)
 {
+    reviewReach(now);
     for (const auto& [instance, replica] : m_replicas.all()) {
         dropOldConnections(*replica, now);
     }
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -34,6 +34,9 @@
     // The balancer asks every second and needs two misses; until then new connections still come. Part of the grace: 3 s of 8.
     constexpr double outOfRotation = 0.375;
     constexpr milliseconds stopMargin { 350 };
+    // Of the bound for keys: more than the age that the proof has between two answers, and early enough for the balancer, which
+    // takes 2 s, to move callers before keys have to be refused.
+    constexpr double cutOffPart = 0.52;
     constexpr int listenBacklog = 1024;
     constexpr int64_t keptWindows = 6; // of usage; a report is due well before the last of them
 
@@ -246,7 +249,7 @@
         m_hooks = std::make_shared<CallerConnectionHooks>(CallerConnectionHooks {
             .onRequest = [this](ReceivedRequest&& request) { m_forwarder.accept(std::move(request)); },
             .limits = [this] { return m_forwarder.table() ? m_forwarder.table()->configuration().limits : CallerLimits {}; },
-            .closing = [this] { return m_stopping; },
+            .closing = [this] { return m_stopping || m_cutOff; },
             .onRefusal = [this](int status, std::string_view why) {
                 m_metrics.countAnswer(status, ResultCode::MalformedRequest);
                 m_log.info("bytes refused", { { "status", status }, { "why", why } }); },
@@ -301,7 +304,8 @@
         for (const auto& instance : m_forwarder.replicas().removeMissing(now, lapsePatience)) {
             m_log.info("replica gone", { { "replica", instance }, { "why", "its entry did not come back" } });
         }
-        const bool ready = !m_stopping && m_forwarder.table() && m_forwarder.keysAreCurrent() && !m_forwarder.replicas().all().empty();
+        m_cutOff = m_forwarder.table() && (!m_forwarder.provenAt() || BootClock::now() - *m_forwarder.provenAt() > m_settings.bounds.revocationInForce * cutOffPart);
+        const bool ready = !m_stopping && m_forwarder.table() && !m_cutOff && !m_forwarder.replicas().all().empty();
         if (ready != m_ready.load(std::memory_order_relaxed)) {
             m_ready.store(ready, std::memory_order_relaxed);
             m_log.info("readiness changed", { { "ready", ready } });
@@ -408,6 +412,7 @@
     MonotonicTime m_sweptAt {};
     MonotonicTime m_stopAt {};
     bool m_stopping { false };
+    bool m_cutOff { false }; /**< The proof that keys are current grows old; callers are sent elsewhere before it ends. */
 };
 
 ForwardingHost::ForwardingHost(ForwardingSettings settings, std::unique_ptr<PlatformAdapter> adapter)
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -98,6 +98,8 @@
     peer.incarnation = state.incarnation();
     peer.sequence = state.sequence();
     peer.heardAt = now;
+    peer.failureDomain = state.failure_domain();
+    noteDomainPeer(m_forwarder.reachOf(peer.failureDomain), now);
     peer.stopping = state.stopping();
     peer.services.clear();
     for (const auto& service : state.services()) {
@@ -107,6 +109,9 @@
         peer.askedProofAt = state.proof_wanted_at_us();
         peer.askedVersion = state.configuration_version();
     }
+    if (peer.stopping) {
+        forgetStopped(peer.failureDomain, now);
+    }
     takeLoads(peer, state);
     takeSpending(state, now);
     takeProof(state);
@@ -247,6 +252,15 @@
     }
 }
 
+/** A domain whose last host has said that it stops is not silent for being cut off. */
+void PeerExchange::forgetStopped(const std::string& failureDomain, MonotonicTime now)
+{
+    const bool others = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return entry.second.failureDomain == failureDomain && mayServe(entry.second, now); });
+    if (!others) {
+        m_forwarder.reachOf(failureDomain).peerHeardAt.reset();
+    }
+}
+
 void PeerExchange::tick(MonotonicTime now)
 {
     if (m_lastTurn && now - *m_lastTurn < turn) {
--- a/packages/forwarding/src/ReplicaConnection.cpp
+++ b/packages/forwarding/src/ReplicaConnection.cpp
@@ -66,7 +66,7 @@
     m_timer.expires_after(timeout);
     m_timer.async_wait([self = shared_from_this()](const asio::error_code& cancelled) {
         if (!cancelled && !self->m_connected && self->m_open) {
-            self->breakOff(ReplicaFailure::ConnectFailed);
+            self->breakOff(ReplicaFailure::ConnectTimedOut);
         }
     });
     m_socket.async_connect({ ip, m_address.port }, [self = shared_from_this()](const asio::error_code& failed) {
