--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -38,9 +38,9 @@
     double promptTokensPerSecond { 50000 }; /**< That a replica computes when it does nothing else; as in PlacementOptions. */
     double promptShare { 0.45 }; /**< Of that speed that may be used: the rest goes to the tokens of running requests. */
     double slotShare { 0.4 }; /**< Of the slots that may be used: beyond it each token takes notably longer. */
-    double headroom { 1.3 }; /**< For the rise until a replica that is ordered now serves. */
-    double ordinaryShare { 0.5 }; /**< Of what is needed, that a reclaim cannot take away. */
-    double reclaimableShare { 0.9 }; /**< Of what is needed, that may be taken away a domain at a time. */
+    double headroom { 1.15 }; /**< For the rise until a replica that is ordered now serves. */
+    double ordinaryShare { 0.25 }; /**< Of what is needed, that a reclaim cannot take away. */
+    double reclaimableShare { 1.1 }; /**< Of what is needed, that may be taken away a domain at a time. */
     uint32_t fewestOrdinary { 4 };
 };
 
