--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -37,6 +37,7 @@
     // Of the bound for keys: more than the age that the proof has between two answers, and early enough for the balancer, which
     // takes 2 s, to move callers before keys have to be refused.
     constexpr double cutOffPart = 0.52;
+    constexpr milliseconds acceptPause { 50 };
     constexpr int listenBacklog = 1024;
     constexpr int64_t keptWindows = 6; // of usage; a report is due well before the last of them
 
@@ -271,20 +272,30 @@
         return m_readiness->start(reason).has_value();
     }
 
+    /** Half of the descriptors: each request may need a connection to a replica as well. */
+    size_t maxCallers() const { return m_settings.maxDescriptors / 2; }
+
     void accept()
     {
         m_acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
             if (error == asio::error::operation_aborted) {
                 return;
             }
-            if (!error) {
+            if (error) {
+                // Descriptors may have run out: accepting again at once would only fail again.
+                m_log.warning("connection not accepted", { { "why", error.message() }, { "connections", m_callers.size() } });
+                later(acceptPause, [this] { accept(); });
+                return;
+            }
+            if (m_callers.size() >= maxCallers()) {
+                m_log.warning("connection refused", { { "why", "too many connections" }, { "connections", m_callers.size() } });
+                socket.close();
+            } else {
                 asio::error_code ignored; // only delays small writes
                 socket.set_option(asio::ip::tcp::no_delay(true), ignored);
                 auto connection = std::make_shared<CallerConnection>(std::move(socket), m_hooks);
                 m_callers.push_back(connection);
                 connection->start(std::chrono::steady_clock::now());
-            } else {
-                m_log.warning("connection not accepted", { { "why", error.message() } });
             }
             accept();
         });
