--- a/tests/process/CommandLineTest.cpp
+++ b/tests/process/CommandLineTest.cpp
@@ -79,6 +79,22 @@
     CHECK(daemon({ "--settings", anyExample().string(), "--check-settings" }).exitCode == exitOk);
 }
 
+TEST_CASE("settings that the platform hands to a process are checked by name")
+{
+    const TempDirectory directory;
+    const std::filesystem::path file = directory.path() / "boot.toml";
+    const std::string good = "node_name = \"h\"\nzone = \"z\"\nport_range = [7600, 7615]\n[listen]\nfront = \"127.0.0.1:1\"\nready_address = \"127.0.0.1:2\"\n"
+                             "[limits]\nmemory_mb = 260\nmax_fds = 4200\n[platform]\naddress = \"127.0.0.1:3\"\n";
+    std::ofstream { file } << good;
+    CHECK(daemon({ "--platform", "--settings", file.string(), "--check-settings" }).exitCode == exitOk);
+    std::ofstream { file } << "port_range = 7600\n"
+                           << good.substr(0, good.find("port_range")) << good.substr(good.find("[listen]"));
+    const Outcome bad = daemon({ "--platform", "--settings", file.string() });
+    CHECK(bad.exitCode == exitInvalidSettings);
+    CHECK_MESSAGE(bad.text.find("port_range") != std::string::npos, bad.text);
+    CHECK(daemon({ "--platform" }).exitCode == exitUsage);
+}
+
 TEST_CASE("the daemon and siskinctl say the same of settings with a fault")
 {
     const TempDirectory directory;
