--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -62,6 +62,9 @@
     /** Ends a stream that has begun and cannot be continued, since no replica has a place. */
     void giveUpStream() { breakStream("no replica has a place to continue the stream"); }
 
+    /** Lets go of the connections, which refer back to the exchange, at the end of the process. */
+    void abandon();
+
     const AdmittedRequest& request() const { return m_request; }
     bool isWaiting() const { return m_phase == Phase::Waiting; }
     bool isAnswering() const { return m_phase == Phase::Answering; }
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -35,6 +35,10 @@
 class Forwarder {
 public:
     Forwarder(asio::io_context&, const ForwardingSettings&, const PlatformAdapter&, HostLog&, ForwardingMetrics&, TrueTime&);
+    /** Gives up what is still open, without answers. */
+    ~Forwarder();
+    Forwarder(const Forwarder&) = delete;
+    Forwarder& operator=(const Forwarder&) = delete;
 
     /** A configuration is in force from here on for requests that arrive; those that wait are looked at again. */
     void setTable(std::shared_ptr<const RoutingTable>);
--- a/packages/forwarding/src/ExchangeEnd.cpp
+++ b/packages/forwarding/src/ExchangeEnd.cpp
@@ -16,6 +16,13 @@
 
 } // namespace
 
+void Exchange::abandon()
+{
+    m_phase = Phase::Done;
+    m_timer.cancel();
+    releaseAttempt(false);
+}
+
 void Exchange::onCallerLeft()
 {
     if (isDone()) {
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -47,6 +47,14 @@
 {
 }
 
+Forwarder::~Forwarder()
+{
+    m_waiting.clear();
+    for (const auto& exchange : m_open) {
+        exchange->abandon();
+    }
+}
+
 void Forwarder::setTable(std::shared_ptr<const RoutingTable> table)
 {
     m_table = std::move(table);
