Pace messages between hosts, and let two hosts of a domain watch the store for the others

Cause: on the grown bookings' site (83 hosts) each host sent its whole state to each other five times a second and watched the store by itself. Ruled out: processor time (0.039 of 0.12 core at most), engines (no refusal for queues). Change: messages a second to peers are bounded (ExchangePace), spending tells what has changed, usage goes to those that gather it, loads are summed by difference (PeerLoads); two hosts of a domain of five or more watch the store and pass on what they read (ChangeLog, StoreNews), others ask it only for what is missing; lists of hosts are asked for at a constant rate in all.

--- a/packages/decisions/include/siskinspread/SharedQuota.h
+++ b/packages/decisions/include/siskinspread/SharedQuota.h
@@ -72,8 +72,15 @@
 /** Gives back what a request took that did not run. Thread safety: as refreshQuota. */
 void refundQuota(SharedQuota& quota, double cost);
 
-/** Takes in what another host has told. Thread safety: as refreshQuota. */
-void notePeerSpending(SharedQuota& quota, const std::string& host, uint64_t incarnation, double spent, MonotonicTime now);
+/**
+ * Takes in what another host has told.
+ * @param before what the host had spent before, where it has not told of this customer yet; nothing: unknown, so that what it
+ *     told is where the counting starts. Thread safety: as refreshQuota.
+ */
+void notePeerSpending(SharedQuota& quota, const std::string& host, uint64_t incarnation, double spent, MonotonicTime now, std::optional<double> before = {});
+
+/** A host was heard that has not spent anything since it told of its spending. Thread safety: as refreshQuota. */
+void notePeerHeard(SharedQuota& quota, const std::string& host, uint64_t incarnation, MonotonicTime now);
 
 /** A host has said that it stops: nothing is assumed of it any more. Thread safety: as refreshQuota. */
 void notePeerStop(SharedQuota& quota, const std::string& host);
--- a/packages/decisions/src/SharedQuota.cpp
+++ b/packages/decisions/src/SharedQuota.cpp
@@ -60,19 +60,26 @@
     quota.spent -= cost;
 }
 
-void notePeerSpending(SharedQuota& quota, const std::string& host, uint64_t incarnation, double spent, MonotonicTime now)
+void notePeerSpending(SharedQuota& quota, const std::string& host, uint64_t incarnation, double spent, MonotonicTime now, std::optional<double> toldBefore)
 {
     auto [entry, isNew] = quota.peers.try_emplace(host);
     auto& peer = entry->second;
     if (isNew) {
         peer.incarnation = incarnation;
-        peer.spent = spent;
+        peer.spent = toldBefore.value_or(spent);
     }
     const double before = peer.incarnation == incarnation ? peer.spent : 0.0;
     quota.level -= spent - before - std::min(peer.assumed, std::max(0.0, spent - before));
     peer = { .incarnation = incarnation, .spent = spent, .assumed = 0, .heardAt = now };
 }
 
+void notePeerHeard(SharedQuota& quota, const std::string& host, uint64_t incarnation, MonotonicTime now)
+{
+    if (auto peer = quota.peers.find(host); peer != quota.peers.end() && peer->second.incarnation == incarnation) {
+        notePeerSpending(quota, host, incarnation, peer->second.spent, now);
+    }
+}
+
 void notePeerStop(SharedQuota& quota, const std::string& host)
 {
     quota.peers.erase(host);
--- a/packages/decisions/tests/SharedQuotaTest.cpp
+++ b/packages/decisions/tests/SharedQuotaTest.cpp
@@ -148,3 +148,32 @@
         }
     }));
 }
+
+TEST_CASE("a host that tells only what has changed is counted from the first request of a customer on")
+{
+    SharedQuota quota;
+    refreshQuota(quota, limit, {}, start);
+    const double before = quota.level;
+    notePeerSpending(quota, "b", 1, 300, start, 0.0);
+    CHECK(quota.level == doctest::Approx(before - 300));
+    // Unknown before: where the counting starts.
+    notePeerSpending(quota, "c", 1, 300, start);
+    CHECK(quota.level == doctest::Approx(before - 300));
+}
+
+TEST_CASE("nothing is assumed of a host that is heard without spending anything")
+{
+    SharedQuota quota;
+    refreshQuota(quota, limit, {}, start);
+    notePeerSpending(quota, "b", 1, 0, start);
+    auto now = start;
+    for (int step = 0; step < 100; ++step) {
+        now += milliseconds { 100 };
+        notePeerHeard(quota, "b", 1, now);
+        refreshQuota(quota, limit, {}, now);
+    }
+    CHECK(quota.level == doctest::Approx(limit.burst));
+    now += milliseconds { 5000 };
+    refreshQuota(quota, limit, {}, now);
+    CHECK(quota.peers.at("b").assumed > 0);
+}
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -53,6 +53,9 @@
     /** @param hosts that may be serving, this one included; shares of the retry budget follow it. */
     void setHostCount(size_t hosts) { m_hosts = std::max<size_t>(1, hosts); }
 
+    /** @param silence of a peer after which it is assumed to spend of the customers' limits what others do not know of. */
+    void setPeerSilence(std::chrono::milliseconds silence) { m_quotaOptions.silentAfter = silence; }
+
     /** From here on requests are refused: what is in progress has the rest of the grace. Idempotent. */
     void beginDraining() { m_draining = true; }
 
--- a/packages/forwarding/include/siskinspread/PeerExchange.h
+++ b/packages/forwarding/include/siskinspread/PeerExchange.h
@@ -1,15 +1,18 @@
 #pragma once
 
+#include "siskinspread/ExchangePace.h"
 #include "siskinspread/FleetPlan.h"
 #include "siskinspread/Forwarder.h"
 #include "siskinspread/ForwardingSettings.h"
 #include "siskinspread/HostLog.h"
+#include "siskinspread/PeerLoads.h"
 
 #include "forwarding.pb.h"
 
 #include <asio.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,7 +28,12 @@
     uint64_t incarnation { 0 };
     uint64_t sequence { 0 };
     std::optional<MonotonicTime> heardAt;
-    std::optional<MonotonicTime> sentAt;
+    std::optional<MonotonicTime> nextAt; /**< When the next message to it is due. */
+    std::optional<MonotonicTime> joinedAt; /**< First message of its incarnation. */
+    std::optional<MonotonicTime> wholeSentAt; /**< Last message that held the spending of all customers. */
+    std::optional<MonotonicTime> usageAt; /**< Last message that held its usage. */
+    bool spendingKnown { false }; /**< It has told the spending of all customers. */
+    bool wantsUsage { false };
     bool stopping { false };
     std::map<std::string, schema::ServiceDemandMessage> services; /**< By name. */
     std::optional<uint64_t> askedProofAt; /**< Its clock, to be sent back with the age of this host's proof. */
@@ -50,15 +58,27 @@
     /** Sends what is due; to be called every 50 ms or so. */
     void tick(MonotonicTime now);
 
+    /** Whether this host gathers the usage of all hosts; they send it only then. */
+    void setGathersUsage(bool gathers) { m_gathersUsage = gathers; }
+
+    /** What goes to and comes from hosts of the same failure domain in addition. */
+    struct DomainNews {
+        std::function<void(schema::HostStateMessage&)> tell;
+        std::function<void(const schema::HostStateMessage&)> apply;
+    };
+    void setDomainNews(DomainNews news) { m_domainNews = std::move(news); }
+
     /** Says that this host stops; peers then stop to reckon with it. */
     void announceStop();
 
     /** @return what all hosts together ask of the replicas of a service. */
     FleetDemand demandOf(const std::string& service) const;
-    /** @return whether every host that may be serving was heard within this time. */
-    bool allHeardSince(std::chrono::nanoseconds within) const;
+    /** @return whether every host that may be serving has told its usage within this time. */
+    bool allUsageHeardSince(std::chrono::nanoseconds within) const;
     /** @return names of hosts heard lately, this one included. */
     std::vector<std::string> liveHosts() const;
+    /** @return those of them that are in the same failure domain. */
+    std::vector<std::string> liveDomainHosts() const;
 
     /** Counts of a window by host; of ended incarnations too. */
     using WindowOfHosts = std::map<std::string, WindowCounts>;
@@ -69,13 +89,19 @@
     void receive();
     void onState(const schema::HostStateMessage&, const asio::ip::udp::endpoint& sender);
     void applyLoads(const schema::HostStateMessage&);
-    void applySpending(const schema::HostStateMessage&, MonotonicTime now);
+    void applySpending(PeerHost&, const schema::HostStateMessage&, MonotonicTime now);
     void applyProof(const schema::HostStateMessage&);
     void applyUsage(const schema::HostStateMessage&);
-    void sumLoads();
     void forgetStopped(const std::string& failureDomain, MonotonicTime now);
     schema::HostStateMessage ownState() const;
-    void sendTo(PeerHost&, schema::HostStateMessage&, MonotonicTime now);
+    void tellUsage(schema::HostStateMessage&) const;
+    void tellSpending(schema::HostStateMessage&, bool whole, MonotonicTime now) const;
+    void noteOwnSpending(MonotonicTime now);
+    /** @return the state as this peer needs it. */
+    schema::HostStateMessage stateFor(PeerHost&, const schema::HostStateMessage& state, MonotonicTime now);
+    void sendTo(PeerHost&, const schema::HostStateMessage&);
+    std::chrono::milliseconds turnFor(const PeerHost&, MonotonicTime now) const;
+    void review(MonotonicTime now);
     bool mayServe(const PeerHost&, MonotonicTime now) const;
 
     const ForwardingSettings& m_settings;
@@ -85,11 +111,19 @@
     std::array<char, 65536> m_buffer {};
     asio::ip::udp::endpoint m_sender;
     std::map<std::string, PeerHost> m_peers;
-    std::map<std::string, std::unordered_map<uint64_t, ReplicaLoad>> m_loads; /**< By host and replica. */
+    PeerLoads m_loads;
+    struct OwnSpending {
+        double spent { 0 };
+        MonotonicTime changedAt {};
+    };
+    std::unordered_map<std::string, OwnSpending> m_ownSpending; /**< By customer. */
+    ExchangePace m_pace;
+    DomainNews m_domainNews;
     std::map<int64_t, WindowOfHosts> m_usage;
     uint64_t m_incarnation { 0 };
     uint64_t m_sequence { 0 };
-    std::optional<MonotonicTime> m_lastTurn;
+    std::optional<MonotonicTime> m_reviewedAt;
+    bool m_gathersUsage { false };
     bool m_stopping { false };
 };
 
--- a/packages/forwarding/include/siskinspread/StoreFeed.h
+++ b/packages/forwarding/include/siskinspread/StoreFeed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "siskinspread/BootClock.h"
+#include "siskinspread/ChangeLog.h"
 #include "siskinspread/HostLog.h"
 #include "siskinspread/PlatformAdapter.h"
 #include "siskinspread/StoreCalls.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace siskinspread {
@@ -20,6 +22,7 @@
     std::string_view purpose;
     /** A watch without changes is answered after this; an answer also shows that nothing has changed meanwhile. */
     std::chrono::milliseconds watchWait { 1000 };
+    std::chrono::milliseconds changePause { 100 }; /**< After an answer with changes: those that follow come in one answer. */
     std::chrono::milliseconds retryDelay { 150 }; /**< After a call that failed; doubled up to longestRetryDelay. */
     std::chrono::milliseconds longestRetryDelay { 600 };
 };
@@ -34,7 +37,24 @@
     std::function<void(bool reachable, std::string_view why)> onReachable;
 };
 
-/** Follows a collection of the store: lists it, then watches; lists again when the history is gone or a call failed. Loop thread only. */
+/** A change as a feed has read it. */
+struct FeedChange {
+    StoreChange change;
+    bool recovering { false }; /**< Seen in the first answer after an absence of the store. */
+    bool withContent { true }; /**< Otherwise the document has to be read from the store. */
+};
+using FeedBatch = ChangeBatch<FeedChange>;
+
+/** What the feed of another host has read lately. */
+struct FeedNews {
+    std::vector<FeedBatch> batches;
+    std::chrono::microseconds age { 0 }; /**< Since that host asked the store for the last of it. */
+};
+
+/**
+ * Follows a collection of the store: lists it, then watches; lists again when the history is gone or a call failed. A feed that
+ * follows others takes what they have read, and asks the store only where that has gaps or grows old. Loop thread only.
+ */
 class StoreFeed {
 public:
     StoreFeed(asio::io_context&, StoreCalls&, const PlatformAdapter&, StoreFeedOptions, StoreFeedHandlers);
@@ -42,7 +62,27 @@
     void start();
     bool isReachable() const { return m_reachable; }
 
+    /** Whether the feeds of other hosts are followed; the store is asked by this one only where they do not suffice. */
+    void follow(bool follows) { m_follows = follows; }
+
+    /** Takes in what another host has read. */
+    void applyNews(FeedNews&&);
+
+    /** @return what this feed has read lately; nothing before its first list. */
+    std::optional<FeedNews> news() const;
+
+    /** To be called every 50 ms or so. */
+    void tick();
+
 private:
+    /** @return whether the news of others are recent enough to leave the store alone. */
+    bool mayRest() const;
+    void next();
+    bool applyBatch(FeedBatch&);
+    void record(uint64_t from, uint64_t asOf, std::vector<FeedChange>&&);
+    std::vector<FeedChange> changesByList(const std::vector<StoreDocument>&, bool recovering);
+    void noteKnown(const StoreChange&);
+    void becomeReachable();
     void list(std::string_view after);
     void onListed(const TransferEnded&, BootTime askedAt);
     void watch();
@@ -58,10 +98,19 @@
     StoreFeedHandlers m_handlers;
     asio::steady_timer m_timer;
     std::vector<StoreDocument> m_documents; /**< Pages of a list that is not complete yet. */
-    std::optional<uint64_t> m_asOf;
+    std::optional<uint64_t> m_asOf; /**< Empty: to be listed again. */
+    std::optional<uint64_t> m_listedTo; /**< Revision up to which everything is known, also while a new list is on its way. */
     std::chrono::milliseconds m_delay { 0 };
     bool m_reachable { false };
     std::optional<MonotonicTime> m_lostAt;
+    std::optional<BootTime> m_askedAt; /**< Of the newest answer. */
+    std::unordered_map<std::string, uint64_t> m_known; /**< Revisions by name. */
+    ChangeLog<FeedChange> m_log;
+    std::optional<MonotonicTime> m_newsAt;
+    std::chrono::microseconds m_newsAge { 0 };
+    bool m_follows { false };
+    bool m_newsIncomplete { false }; /**< The newest news did not join up with what is known. */
+    bool m_resting { false };
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/src/DutyDesk.cpp
+++ b/packages/forwarding/src/DutyDesk.cpp
@@ -140,6 +140,8 @@
     if (rank != m_lease.rank) {
         stepLease(LeaseCandidacy { .rank = rank });
     }
+    // Candidates gather as well, so that a takeover finds the counts of all hosts.
+    m_peers.setGathersUsage(m_held || rank.has_value());
     stepLease(LeaseTick {});
     if (!m_held) {
         return;
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -8,6 +8,7 @@
 #include "siskinspread/PeerExchange.h"
 #include "siskinspread/StoreCalls.h"
 #include "siskinspread/StoreFeed.h"
+#include "siskinspread/StoreNews.h"
 
 #include <asio.hpp>
 #include <malloc.h>
@@ -57,11 +58,17 @@
         , m_registry(m_context, m_settings, *m_adapter, m_calls, m_peers, m_log, m_incarnation)
         , m_configurationFeed(m_context, m_calls, *m_adapter, { .collection = StoreCollection::Configuration, .purpose = "configuration", .watchWait = configurationWatch }, configurationHandlers())
         , m_replicaFeed(m_context, m_calls, *m_adapter, { .collection = StoreCollection::Replicas, .purpose = "replicas", .watchWait = replicaWatch }, replicaHandlers())
+        , m_news(m_settings.host)
         , m_acceptor(m_context)
         , m_acceptTimer(m_context)
         , m_ticker(m_context)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     {
+        // A configuration may be larger than a datagram; it changes rarely.
+        m_news.add(StoreCollection::Configuration, m_configurationFeed, false);
+        m_news.add(StoreCollection::Replicas, m_replicaFeed, true);
+        m_peers.setDomainNews({ .tell = [this](schema::HostStateMessage& message) { m_news.tell(message, std::chrono::steady_clock::now()); },
+            .apply = [this](const schema::HostStateMessage& message) { m_news.apply(message); } });
     }
 
     bool run(LastReason& reason)
@@ -273,7 +280,10 @@
         if (now - m_sweptAt > sweepInterval) {
             m_sweptAt = now;
             sweepCallers(now);
+            m_news.chooseRole(m_peers.liveDomainHosts());
         }
+        m_configurationFeed.tick();
+        m_replicaFeed.tick();
         m_log.flush();
         if (m_stopping && continueStop(now)) {
             return;
@@ -363,6 +373,7 @@
     HostRegistry m_registry;
     StoreFeed m_configurationFeed;
     StoreFeed m_replicaFeed;
+    StoreNews m_news;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_acceptTimer;
     asio::steady_timer m_ticker;
--- a/packages/forwarding/src/HostRegistry.cpp
+++ b/packages/forwarding/src/HostRegistry.cpp
@@ -2,13 +2,17 @@
 
 #include "siskinspread/JsonFields.h"
 
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
 
     using std::chrono::milliseconds;
 
-    constexpr milliseconds listInterval { 15000 }; // hosts that are new tell of themselves; this heals what was missed
+    // Hosts that are new tell of themselves; this heals what was missed, with as many calls a second however many hosts there are.
+    constexpr milliseconds shortestListInterval { 15000 };
+    constexpr milliseconds listIntervalPerHost { 2000 };
     constexpr milliseconds pauseAfterFailure { 500 };
 
 } // namespace
@@ -79,7 +83,7 @@
         for (const auto& document : page->documents) {
             m_peers.addPeer(document.name, textField(document.content, "address"), static_cast<uint16_t>(countField(document.content, "port", 0)));
         }
-        later(listInterval, &HostRegistry::list);
+        later(std::max<milliseconds>(shortestListInterval, listIntervalPerHost * page->documents.size()), &HostRegistry::list);
     });
 }
 
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -8,23 +8,18 @@
 
     using std::chrono::milliseconds;
 
-    constexpr milliseconds turn { 200 }; // between two datagrams to a peer that answers
+    constexpr milliseconds reviewInterval { 200 };
     constexpr milliseconds turnToSilent { 1000 };
     // A host that has been silent this long holds no keys that are current any more: it has lost the store and its peers.
     constexpr milliseconds quietTime { 6000 };
-    constexpr milliseconds loadTime { 1500 }; // what a silent peer had at replicas has probably ended
-    constexpr size_t maxWindowsTold = 4;
+    constexpr milliseconds loadTime { 1500 }; // what a silent peer had at replicas has probably ended, unless it tells more rarely
+    constexpr uint64_t phases = 8; // first messages are spread over a turn, so that they do not arrive together later
 
     bool isRecent(const std::optional<MonotonicTime>& at, MonotonicTime now, milliseconds within)
     {
         return at && now - *at < within;
     }
 
-    uint64_t bootMicroseconds(BootTime time)
-    {
-        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count());
-    }
-
 } // namespace
 
 PeerExchange::PeerExchange(asio::io_context& context, const ForwardingSettings& settings, Forwarder& forwarder, HostLog& log, uint64_t incarnation)
@@ -91,6 +86,10 @@
     if (!newIncarnation && state.sequence() <= peer.sequence) {
         return; // overtaken by a later one
     }
+    if (newIncarnation) {
+        peer.joinedAt = now;
+        peer.spendingKnown = false;
+    }
     if (!isRecent(peer.heardAt, now, quietTime)) {
         m_log.info("peer heard", { { "peer", state.host() }, { "new_incarnation", newIncarnation } });
     }
@@ -101,6 +100,7 @@
     peer.failureDomain = state.failure_domain();
     noteDomainPeer(m_forwarder.reachOf(peer.failureDomain), now);
     peer.stopping = state.stopping();
+    peer.wantsUsage = state.wants_usage();
     peer.services.clear();
     for (const auto& service : state.services()) {
         peer.services[service.service()] = service;
@@ -113,39 +113,28 @@
         forgetStopped(peer.failureDomain, now);
     }
     applyLoads(state);
-    applySpending(state, now);
+    applySpending(peer, state, now);
     applyProof(state);
-    applyUsage(state);
+    if (state.tells_usage()) {
+        peer.usageAt = now;
+        applyUsage(state);
+    }
+    if (m_domainNews.apply && state.news_size() > 0) {
+        m_domainNews.apply(state);
+    }
 }
 
 void PeerExchange::applyLoads(const schema::HostStateMessage& state)
 {
-    auto& loads = m_loads[state.host()];
-    loads.clear();
+    LoadsOfHost told;
     for (const auto& load : state.loads()) {
-        loads[load.replica()] = { .requests = load.requests(), .unreadTokens = load.unread_tokens(), .heldTokens = load.held_tokens() };
+        told[load.replica()] = { .requests = load.requests(), .unreadTokens = load.unread_tokens(), .heldTokens = load.held_tokens() };
     }
-    sumLoads();
+    replacePeerLoads(m_loads, state.host(), std::move(told), m_forwarder.replicas());
     m_forwarder.placeFreed();
 }
 
-void PeerExchange::sumLoads()
-{
-    for (const auto& [instance, replica] : m_forwarder.replicas().all()) {
-        replica->peerLoad = {};
-    }
-    for (const auto& [host, loads] : m_loads) {
-        for (const auto& [identity, load] : loads) {
-            if (auto replica = m_forwarder.replicas().findIdentity(identity)) {
-                replica->peerLoad.requests += load.requests;
-                replica->peerLoad.unreadTokens += load.unreadTokens;
-                replica->peerLoad.heldTokens += load.heldTokens;
-            }
-        }
-    }
-}
-
-void PeerExchange::applySpending(const schema::HostStateMessage& state, MonotonicTime now)
+void PeerExchange::applySpending(PeerHost& peer, const schema::HostStateMessage& state, MonotonicTime now)
 {
     auto& quotas = m_forwarder.quotas();
     if (state.stopping()) {
@@ -154,9 +143,15 @@
         }
         return;
     }
+    for (auto& [customer, quota] : quotas) {
+        notePeerHeard(quota, state.host(), state.incarnation(), now);
+    }
+    // A host that has told of all customers had spent nothing of those that it names only now.
+    const auto before = peer.spendingKnown ? std::optional { 0.0 } : std::nullopt;
     for (const auto& spending : state.spending()) {
-        notePeerSpending(quotas[spending.customer()], state.host(), state.incarnation(), spending.spent(), now);
+        notePeerSpending(quotas[spending.customer()], state.host(), state.incarnation(), spending.spent(), now, before);
     }
+    peer.spendingKnown = peer.spendingKnown || state.whole_spending();
 }
 
 void PeerExchange::applyProof(const schema::HostStateMessage& state)
@@ -189,108 +184,68 @@
     m_usage.erase(m_usage.begin(), m_usage.lower_bound(window));
 }
 
-schema::HostStateMessage PeerExchange::ownState() const
+/** A domain whose last host has said that it stops is not silent for being cut off. */
+void PeerExchange::forgetStopped(const std::string& failureDomain, MonotonicTime now)
 {
-    schema::HostStateMessage state;
-    state.set_host(m_settings.host);
-    state.set_failure_domain(m_settings.failureDomain);
-    state.set_incarnation(m_incarnation);
-    state.set_configuration_version(m_forwarder.table() ? m_forwarder.table()->configuration().version : 0);
-    state.set_stopping(m_stopping);
-    for (const auto& [instance, replica] : m_forwarder.replicas().all()) {
-        if (replica->ownLoad.requests > 0) {
-            auto& load = *state.add_loads();
-            load.set_replica(replica->identity);
-            load.set_requests(replica->ownLoad.requests);
-            load.set_unread_tokens(replica->ownLoad.unreadTokens);
-            load.set_held_tokens(replica->ownLoad.heldTokens);
-        }
-    }
-    for (const auto& [customer, quota] : m_forwarder.quotas()) {
-        auto& spending = *state.add_spending();
-        spending.set_customer(customer);
-        spending.set_spent(quota.spent);
-    }
-    if (m_forwarder.table()) {
-        for (const auto& service : m_forwarder.table()->configuration().services) {
-            auto& demand = *state.add_services();
-            demand.set_service(service.name);
-            demand.set_prompt_tokens_per_second(m_forwarder.promptTokensPerSecond(service.name));
-            demand.set_waiting(m_forwarder.waitingFor(service.name));
-        }
-    }
-    size_t told = 0;
-    const auto& windows = m_forwarder.usage().windows;
-    for (auto window = windows.rbegin(); window != windows.rend() && told < maxWindowsTold; ++window, ++told) {
-        auto& message = *state.add_usage();
-        message.set_window(window->first);
-        for (const auto& [customer, requests] : window->second) {
-            auto& count = *message.add_counts();
-            count.set_customer(customer);
-            count.set_requests(requests);
-        }
+    const bool others = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return entry.second.failureDomain == failureDomain && mayServe(entry.second, now); });
+    if (!others) {
+        m_forwarder.reachOf(failureDomain).peerHeardAt.reset();
     }
-    return state;
 }
 
-void PeerExchange::sendTo(PeerHost& peer, schema::HostStateMessage& state, MonotonicTime now)
+milliseconds PeerExchange::turnFor(const PeerHost& peer, MonotonicTime now) const
 {
-    const auto provenAt = m_forwarder.provenAt();
-    state.set_sequence(++m_sequence);
-    state.set_proof_for_us(0);
-    if (peer.askedProofAt && provenAt && peer.askedVersion == state.configuration_version()) {
-        state.set_proof_for_us(*peer.askedProofAt);
-        state.set_proof_age_us(bootMicroseconds(BootClock::now()) - bootMicroseconds(*provenAt));
-    }
-    peer.askedProofAt.reset();
-    peer.sentAt = now;
-    asio::error_code error;
-    const auto bytes = state.SerializeAsString();
-    m_socket.send_to(asio::buffer(bytes), peer.endpoint, 0, error);
-    if (error && error != asio::error::would_block) {
-        m_log.warning("datagram not sent", { { "peer", peer.endpoint.address().to_string() }, { "why", error.message() } });
+    if (!isRecent(peer.heardAt, now, quietTime)) {
+        return turnToSilent;
     }
+    return peer.failureDomain == m_settings.failureDomain ? m_pace.ownDomain : m_pace.otherDomains;
 }
 
-/** A domain whose last host has said that it stops is not silent for being cut off. */
-void PeerExchange::forgetStopped(const std::string& failureDomain, MonotonicTime now)
+/** What follows from the set of live hosts, and from their silence. */
+void PeerExchange::review(MonotonicTime now)
 {
-    const bool others = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return entry.second.failureDomain == failureDomain && mayServe(entry.second, now); });
-    if (!others) {
-        m_forwarder.reachOf(failureDomain).peerHeardAt.reset();
+    const auto live = liveHosts().size();
+    const auto ownDomain = liveDomainHosts().size();
+    m_pace = exchangePace(ownDomain - 1, live - ownDomain, {});
+    m_forwarder.setHostCount(live);
+    m_forwarder.setPeerSilence(silentAfter(m_pace));
+    m_forwarder.metrics().setPeers(live - 1);
+    const auto forgetAfter = std::max(loadTime, 2 * silentAfter(m_pace));
+    for (const auto& [host, peer] : m_peers) {
+        if (!isRecent(peer.heardAt, now, forgetAfter) && forgetPeerLoads(m_loads, host, m_forwarder.replicas())) {
+            m_log.warning("peer is silent", { { "peer", host }, { "for_ms", peer.heardAt ? std::chrono::duration_cast<milliseconds>(now - *peer.heardAt) : milliseconds { -1 } } });
+        }
     }
+    applyPeerLoads(m_loads, m_forwarder.replicas());
+    noteOwnSpending(now);
 }
 
 void PeerExchange::tick(MonotonicTime now)
 {
-    if (m_lastTurn && now - *m_lastTurn < turn) {
-        return;
-    }
-    m_lastTurn = now;
-    auto state = ownState();
-    // Asked for early enough that several answers may be lost before the keys' bound.
-    const auto provenAt = m_forwarder.provenAt();
-    if (!provenAt || BootClock::now() - *provenAt > m_settings.bounds.revocationInForce / 3) {
-        state.set_proof_wanted_at_us(bootMicroseconds(BootClock::now()));
+    if (!m_reviewedAt || now - *m_reviewedAt >= reviewInterval) {
+        m_reviewedAt = now;
+        review(now);
     }
+    std::optional<schema::HostStateMessage> state;
     for (auto& [host, peer] : m_peers) {
-        const bool answers = isRecent(peer.heardAt, now, quietTime);
-        if (answers || !isRecent(peer.sentAt, now, turnToSilent)) {
-            sendTo(peer, state, now);
+        if (peer.nextAt && now < *peer.nextAt) {
+            continue;
         }
-        if (!isRecent(peer.heardAt, now, loadTime) && m_loads.erase(host) > 0) {
-            m_log.warning("peer is silent", { { "peer", host }, { "for_ms", peer.heardAt ? std::chrono::duration_cast<milliseconds>(now - *peer.heardAt) : milliseconds { -1 } } });
-            sumLoads();
+        const auto turn = turnFor(peer, now);
+        peer.nextAt = now + (peer.nextAt ? turn : turn * static_cast<int64_t>(std::hash<std::string> {}(host) % phases) / int64_t { phases });
+        if (!state) {
+            state = ownState();
         }
+        sendTo(peer, stateFor(peer, *state, now));
     }
-    m_forwarder.setHostCount(liveHosts().size());
-    m_forwarder.metrics().setPeers(liveHosts().size() - 1);
 }
 
 void PeerExchange::announceStop()
 {
     m_stopping = true;
-    m_lastTurn.reset();
+    for (auto& [host, peer] : m_peers) {
+        peer.nextAt.reset();
+    }
     tick(std::chrono::steady_clock::now());
 }
 
@@ -315,10 +270,13 @@
     return demand;
 }
 
-bool PeerExchange::allHeardSince(std::chrono::nanoseconds within) const
+bool PeerExchange::allUsageHeardSince(std::chrono::nanoseconds within) const
 {
     const auto now = std::chrono::steady_clock::now();
-    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return !mayServe(entry.second, now) || now - *entry.second.heardAt < within; });
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        const auto& peer = entry.second;
+        return !mayServe(peer, now) || (peer.usageAt && now - *peer.usageAt < within);
+    });
 }
 
 std::vector<std::string> PeerExchange::liveHosts() const
@@ -333,4 +291,16 @@
     return hosts;
 }
 
+std::vector<std::string> PeerExchange::liveDomainHosts() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::string> hosts { m_settings.host };
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.failureDomain == m_settings.failureDomain && mayServe(peer, now)) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
 } // namespace siskinspread
--- /dev/null
+++ b/packages/forwarding/src/PeerState.cpp
@@ -0,0 +1,133 @@
+// The part of PeerExchange that tells the state of this host.
+#include "siskinspread/PeerExchange.h"
+
+namespace siskinspread {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr size_t maxWindowsTold = 4;
+    // Several messages to each peer tell of a change, so that it is known when some of them are lost.
+    constexpr milliseconds spendingToldFor { 3000 };
+    constexpr milliseconds wholeSpendingInterval { 5000 }; // heals what was lost all the same
+    constexpr milliseconds joiningTime { 3000 }; // a new host learns everything from several messages
+    constexpr size_t fewHosts = 16; // so few tell each other their usage without being asked
+
+    uint64_t bootMicroseconds(BootTime time)
+    {
+        return static_cast<uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count());
+    }
+
+} // namespace
+
+schema::HostStateMessage PeerExchange::ownState() const
+{
+    schema::HostStateMessage state;
+    state.set_host(m_settings.host);
+    state.set_failure_domain(m_settings.failureDomain);
+    state.set_incarnation(m_incarnation);
+    state.set_configuration_version(m_forwarder.table() ? m_forwarder.table()->configuration().version : 0);
+    state.set_stopping(m_stopping);
+    state.set_wants_usage(m_gathersUsage);
+    for (const auto& [instance, replica] : m_forwarder.replicas().all()) {
+        if (replica->ownLoad.requests > 0) {
+            auto& load = *state.add_loads();
+            load.set_replica(replica->identity);
+            load.set_requests(replica->ownLoad.requests);
+            load.set_unread_tokens(replica->ownLoad.unreadTokens);
+            load.set_held_tokens(replica->ownLoad.heldTokens);
+        }
+    }
+    if (m_forwarder.table()) {
+        for (const auto& service : m_forwarder.table()->configuration().services) {
+            auto& demand = *state.add_services();
+            demand.set_service(service.name);
+            demand.set_prompt_tokens_per_second(m_forwarder.promptTokensPerSecond(service.name));
+            demand.set_waiting(m_forwarder.waitingFor(service.name));
+        }
+    }
+    // Asked for early enough that several answers may be lost before the keys' bound.
+    const auto provenAt = m_forwarder.provenAt();
+    if (!provenAt || BootClock::now() - *provenAt > m_settings.bounds.revocationInForce / 5) {
+        state.set_proof_wanted_at_us(bootMicroseconds(BootClock::now()));
+    }
+    return state;
+}
+
+void PeerExchange::tellUsage(schema::HostStateMessage& state) const
+{
+    state.set_tells_usage(true);
+    size_t told = 0;
+    const auto& windows = m_forwarder.usage().windows;
+    for (auto window = windows.rbegin(); window != windows.rend() && told < maxWindowsTold; ++window, ++told) {
+        auto& message = *state.add_usage();
+        message.set_window(window->first);
+        for (const auto& [customer, requests] : window->second) {
+            auto& count = *message.add_counts();
+            count.set_customer(customer);
+            count.set_requests(requests);
+        }
+    }
+}
+
+void PeerExchange::noteOwnSpending(MonotonicTime now)
+{
+    for (const auto& [customer, quota] : m_forwarder.quotas()) {
+        auto& own = m_ownSpending[customer];
+        if (own.spent != quota.spent) {
+            own = { .spent = quota.spent, .changedAt = now };
+        }
+    }
+}
+
+void PeerExchange::tellSpending(schema::HostStateMessage& state, bool whole, MonotonicTime now) const
+{
+    state.set_whole_spending(whole);
+    for (const auto& [customer, quota] : m_forwarder.quotas()) {
+        const auto own = m_ownSpending.find(customer);
+        const bool changed = own == m_ownSpending.end() || own->second.spent != quota.spent || now - own->second.changedAt < spendingToldFor;
+        if (whole || changed) {
+            auto& spending = *state.add_spending();
+            spending.set_customer(customer);
+            spending.set_spent(quota.spent);
+        }
+    }
+}
+
+schema::HostStateMessage PeerExchange::stateFor(PeerHost& peer, const schema::HostStateMessage& state, MonotonicTime now)
+{
+    auto message = state;
+    const bool joining = !peer.joinedAt || now - *peer.joinedAt < joiningTime;
+    const bool whole = joining || !peer.wholeSentAt || now - *peer.wholeSentAt >= wholeSpendingInterval;
+    if (whole) {
+        peer.wholeSentAt = now;
+    }
+    tellSpending(message, whole, now);
+    if (peer.wantsUsage || m_stopping || m_peers.size() < fewHosts) {
+        tellUsage(message);
+    }
+    if (m_domainNews.tell && peer.failureDomain == m_settings.failureDomain) {
+        m_domainNews.tell(message);
+    }
+    message.set_sequence(++m_sequence);
+    const auto provenAt = m_forwarder.provenAt();
+    if (peer.askedProofAt && provenAt && peer.askedVersion == state.configuration_version()) {
+        message.set_proof_for_us(*peer.askedProofAt);
+        message.set_proof_age_us(bootMicroseconds(BootClock::now()) - bootMicroseconds(*provenAt));
+    }
+    peer.askedProofAt.reset();
+    return message;
+}
+
+void PeerExchange::sendTo(PeerHost& peer, const schema::HostStateMessage& state)
+{
+    asio::error_code error;
+    const auto bytes = state.SerializeAsString();
+    m_socket.send_to(asio::buffer(bytes), peer.endpoint, 0, error);
+    if (error && error != asio::error::would_block) {
+        m_log.warning("datagram not sent", { { "peer", peer.endpoint.address().to_string() }, { "why", error.message() } });
+    }
+}
+
+} // namespace siskinspread
--- a/packages/forwarding/src/StoreFeed.cpp
+++ b/packages/forwarding/src/StoreFeed.cpp
@@ -1,11 +1,16 @@
 #include "siskinspread/StoreFeed.h"
 
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
 
     // Entries run out only in an absence of the store that is longer than this; a watch that was cut is none.
     constexpr std::chrono::milliseconds shortestAbsence { 1000 };
+    constexpr std::chrono::milliseconds newsSilence { 1200 }; // several messages of each of the hosts that are followed
+    // A watch is answered after a second without changes and asked anew: its age reaches twice that, and a message's way is added.
+    constexpr std::chrono::milliseconds newsTooOld { 2600 };
 
 } // namespace
 
@@ -46,12 +51,17 @@
         return;
     }
     const bool recovering = succeed();
-    m_asOf = page->asOf;
     auto documents = std::move(m_documents);
     m_documents = {};
+    auto changes = changesByList(documents, recovering);
+    // Without a list before this one, there is nothing that the changes would join up with.
+    record(m_listedTo.value_or(page->asOf), page->asOf, m_listedTo ? std::move(changes) : std::vector<FeedChange> {});
+    m_asOf = page->asOf;
+    m_askedAt = askedAt;
+    m_newsIncomplete = false;
     m_handlers.onList(std::move(documents), recovering);
     m_handlers.onCurrent(askedAt);
-    watch();
+    next();
 }
 
 void StoreFeed::watch()
@@ -74,12 +84,145 @@
         return;
     }
     const bool recovering = succeed();
-    m_asOf = std::max(*m_asOf, changes->asOf);
-    for (auto& change : changes->changes) {
-        m_handlers.onChange(std::move(change), recovering);
+    m_askedAt = askedAt;
+    const bool changed = !changes->changes.empty();
+    // Otherwise others have told of all this, and of more, while the call was open.
+    if (changes->asOf > *m_asOf) {
+        FeedBatch batch { .from = *m_asOf, .asOf = changes->asOf };
+        for (auto& change : changes->changes) {
+            batch.changes.push_back({ .change = std::move(change), .recovering = recovering });
+        }
+        applyBatch(batch);
     }
+    m_newsIncomplete = false;
     m_handlers.onCurrent(askedAt);
-    watch();
+    if (!changed) {
+        next();
+        return;
+    }
+    m_timer.expires_after(m_options.changePause);
+    m_timer.async_wait([this](const asio::error_code& cancelled) {
+        if (!cancelled) {
+            next();
+        }
+    });
+}
+
+bool StoreFeed::mayRest() const
+{
+    if (!m_follows || !m_asOf || m_newsIncomplete || !m_newsAt) {
+        return false;
+    }
+    const auto silence = std::chrono::steady_clock::now() - *m_newsAt;
+    return silence < newsSilence && silence + m_newsAge < newsTooOld;
+}
+
+void StoreFeed::next()
+{
+    m_resting = mayRest();
+    if (!m_resting) {
+        watch();
+    }
+}
+
+void StoreFeed::tick()
+{
+    if (m_resting) {
+        next();
+    }
+}
+
+bool StoreFeed::applyBatch(FeedBatch& batch)
+{
+    const bool whole = std::all_of(batch.changes.begin(), batch.changes.end(), [](const auto& change) { return change.withContent; });
+    if (!whole) {
+        return false;
+    }
+    record(*m_asOf, batch.asOf, std::vector<FeedChange> { batch.changes });
+    m_asOf = batch.asOf;
+    for (auto& change : batch.changes) {
+        noteKnown(change.change);
+        m_handlers.onChange(std::move(change.change), change.recovering);
+    }
+    return true;
+}
+
+void StoreFeed::applyNews(FeedNews&& news)
+{
+    if (!m_asOf) {
+        return; // the own list tells more
+    }
+    bool complete = true;
+    for (auto& batch : news.batches) {
+        const auto use = useOfBatch(*m_asOf, batch.from, batch.asOf);
+        complete = use == BatchUse::Known || (use == BatchUse::Apply && applyBatch(batch));
+        if (!complete) {
+            break;
+        }
+    }
+    m_newsIncomplete = !complete;
+    if (complete) {
+        m_newsAt = std::chrono::steady_clock::now();
+        m_newsAge = news.age;
+        becomeReachable();
+    }
+    tick();
+}
+
+std::optional<FeedNews> StoreFeed::news() const
+{
+    if (!m_asOf || !m_askedAt) {
+        return std::nullopt;
+    }
+    FeedNews news { .age = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - *m_askedAt) };
+    news.batches.assign(m_log.batches.begin(), m_log.batches.end());
+    return news;
+}
+
+void StoreFeed::record(uint64_t from, uint64_t asOf, std::vector<FeedChange>&& changes)
+{
+    m_listedTo = asOf;
+    recordChanges(m_log, FeedBatch { .from = from, .asOf = asOf, .changes = std::move(changes), .at = std::chrono::steady_clock::now() }, {});
+}
+
+/** What a list shows to have changed since the last answer. */
+std::vector<FeedChange> StoreFeed::changesByList(const std::vector<StoreDocument>& documents, bool recovering)
+{
+    std::vector<FeedChange> changes;
+    auto before = std::move(m_known);
+    m_known.clear();
+    for (const auto& document : documents) {
+        m_known[document.name] = document.revision;
+        const auto known = before.find(document.name);
+        if (known == before.end() || known->second != document.revision) {
+            changes.push_back({ .change = { .document = document }, .recovering = recovering });
+        }
+        if (known != before.end()) {
+            before.erase(known);
+        }
+    }
+    for (const auto& [name, revision] : before) {
+        changes.push_back({ .change = { .removed = true, .document = { .name = name, .revision = revision } }, .recovering = recovering });
+    }
+    return changes;
+}
+
+void StoreFeed::noteKnown(const StoreChange& change)
+{
+    if (change.removed) {
+        m_known.erase(change.document.name);
+    } else {
+        m_known[change.document.name] = change.document.revision;
+    }
+}
+
+void StoreFeed::becomeReachable()
+{
+    if (!m_reachable) {
+        m_reachable = true;
+        m_lostAt.reset();
+        m_handlers.onReachable(true, {});
+    }
 }
 
 bool StoreFeed::succeed()
@@ -88,10 +231,8 @@
     if (m_reachable) {
         return false;
     }
-    m_reachable = true;
     const bool recovering = m_lostAt && std::chrono::steady_clock::now() - *m_lostAt >= shortestAbsence;
-    m_lostAt.reset();
-    m_handlers.onReachable(true, {});
+    becomeReachable();
     return recovering;
 }
 
@@ -100,6 +241,10 @@
     if (m_reachable) {
         m_reachable = false;
         m_lostAt = std::chrono::steady_clock::now();
+        // Those that are followed had lost the store before this one noticed.
+        if (m_follows && m_newsAt) {
+            m_lostAt = std::min(*m_lostAt, *m_newsAt - std::chrono::duration_cast<MonotonicTime::duration>(m_newsAge) + m_options.watchWait);
+        }
         m_handlers.onReachable(false, why);
     }
     if (listAgain) {
@@ -117,7 +262,7 @@
 void StoreFeed::retry()
 {
     if (m_asOf) {
-        watch();
+        next();
     } else {
         list({});
     }
--- a/packages/forwarding/src/UsageReports.cpp
+++ b/packages/forwarding/src/UsageReports.cpp
@@ -100,7 +100,7 @@
     }
     const WallTime end { std::chrono::duration_cast<WallTime::duration>(m_settings.bounds.reportWindow * (window + 1)) };
     const bool due = m_time.now() + sendingTime > end + m_settings.bounds.reportDue;
-    if (!due && !m_peers.allHeardSince(m_time.now() - end)) {
+    if (!due && !m_peers.allUsageHeardSince(m_time.now() - end)) {
         return;
     }
     m_windows[window].counts = countsOf(window);
