Carry streams on at another replica before theirs ends

Ruled out: sending them again (may have run). Change: from 0.9 s before the end a run's memory is moved (MemoryMoveCall), the stream goes on after the last whole event at the replica that has the copy, or at its own where there is no room. The order is claimed from the retry budget.

--- a/packages/decisions/include/siskinspread/RoutingConfiguration.h
+++ b/packages/decisions/include/siskinspread/RoutingConfiguration.h
@@ -38,6 +38,7 @@
     uint32_t slots { 0 };
     uint64_t memoryTokens { 0 };
     uint32_t tokensPerEvent { 1 };
+    bool movesMemory { false }; /**< A running request can be carried on by another replica with the memory of the first. */
 };
 
 /** Bounds and prices within which replicas of a service may be ordered, for each failure domain. */
--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -2,6 +2,7 @@
 
 #include "siskinspread/CallerConnection.h"
 #include "siskinspread/EventScanner.h"
+#include "siskinspread/MemoryMoveCall.h"
 #include "siskinspread/ReplicaDirectory.h"
 #include "siskinspread/ResultCode.h"
 
@@ -62,6 +63,9 @@
     /** Ends a stream that has begun and cannot be continued, since no replica has a place. */
     void giveUpStream() { breakStream("no replica has a place to continue the stream"); }
 
+    /** Moves a stream that cannot be resumed away from a replica that is about to end. To be called every 50 ms or so. */
+    void reviewMove(MonotonicTime now);
+
     /** Lets go of the connections, which refer back to the exchange, at the end of the process. */
     void abandon();
 
@@ -99,6 +103,10 @@
     void releaseAttempt(bool keep);
     void finish(ResultCode, int status, std::string_view why);
     void breakStream(std::string_view why);
+    /** @return whether another replica can carry the run on with the memory of the first. */
+    bool isMovable() const;
+    void onMoved(std::optional<MemoryMoveAnswer>, const LastReason&);
+    void continueMoved();
 
     Forwarder& m_forwarder;
     AdmittedRequest m_request;
@@ -111,6 +119,17 @@
     AnswerHead m_answer;
     std::string m_body; /**< Of an answer that is delivered whole. */
     EventScanner m_events;
+    /** A run on its way from one replica to another. */
+    struct Move {
+        std::shared_ptr<MemoryMoveCall> call; /**< Until it has been answered. */
+        std::shared_ptr<Replica> target;
+        std::string memoryFrom; /**< Once answered. */
+        MonotonicTime answeredAt {};
+        bool sourceEnded { false }; /**< The source has closed the stream: all of its events are here. */
+    };
+    std::optional<Move> m_move;
+    bool m_moveTried { false };
+    std::string m_memoryFrom; /**< For the next attempt; see ForwardOrder. */
     bool m_streaming { false };
     bool m_usageCounted { false };
     std::optional<MonotonicTime> m_firstByteAt;
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -95,6 +95,8 @@
     void noteUnread(const std::string& service, uint32_t tokens);
     const ReplicaHealthOptions& healthOptions() const { return m_healthOptions; }
     bool isServing(const Replica&) const;
+    /** @return a replica with a place for a run that another one cannot finish. */
+    std::shared_ptr<Replica> moveTarget(const Exchange&);
     DomainReach& reachOf(const std::string& failureDomain) { return m_reach[failureDomain]; }
 
 private:
@@ -105,6 +107,7 @@
     bool dispatch(const std::shared_ptr<Exchange>&);
     static EngineRequest engineRequest(const Exchange&, const Placement&, const std::vector<PlacementCandidate>&, MonotonicTime now);
     void reviewReach(MonotonicTime now);
+    std::vector<PlacementCandidate> placementCandidates(const Exchange&, const std::vector<std::shared_ptr<Replica>>&, MonotonicTime now) const;
     std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now) const;
     void refuse(const ReceivedRequest&, std::string_view attemptId, ResultCode, int status, std::chrono::milliseconds retryAfter, std::string_view why);
     std::chrono::milliseconds comeBackAfter(const Exchange&) const;
--- a/packages/forwarding/include/siskinspread/ForwardingMetrics.h
+++ b/packages/forwarding/include/siskinspread/ForwardingMetrics.h
@@ -15,6 +15,7 @@
     NotExecuted,
     Failed,
     StreamContinued,
+    StreamMoved,
 };
 
 /** Counters and latency histograms of a forwarding host (prometheus-cpp). Thread safety: any thread. */
--- a/packages/forwarding/include/siskinspread/PlatformAdapter.h
+++ b/packages/forwarding/include/siskinspread/PlatformAdapter.h
@@ -36,6 +36,22 @@
     std::string customer; /**< Empty: none. */
     std::optional<uint32_t> urgency; /**< 0 is admitted first, 9 last. */
     std::optional<uint64_t> continueAfter; /**< Event of a stream after which the answer is to go on. */
+    std::optional<std::string> memoryFrom; /**< Where the memory of the run lies that is to go on, as the platform names it. */
+};
+
+/** An order to a replica to stop a running request and to copy its memory to another replica. */
+struct MemoryMove {
+    std::string attemptId;
+    std::string sourceAddress;
+    uint16_t sourcePort { 0 };
+    std::string targetAddress;
+    uint16_t targetPort { 0 };
+};
+
+/** What became of such an order. */
+struct MemoryMoveAnswer {
+    bool copied { false }; /**< The target has the memory; otherwise only the source, which has stopped the run. */
+    std::string memoryFrom; /**< For ForwardOrder. */
 };
 
 /** What the headers of an answer say beside the bytes that are passed on. */
@@ -57,6 +73,7 @@
     uint32_t slots { 0 };
     bool leaving { false };
     bool reclaimable { false };
+    std::optional<std::chrono::milliseconds> leavesIn; /**< Of a leaving one that is reclaimed: time from its report until it ends. */
     std::chrono::milliseconds slowStartLeft { 0 };
     int64_t startedAtMs { 0 }; /**< Unix time of its start; tells two incarnations of one instance name apart. */
 };
@@ -136,6 +153,10 @@
     /** Appends the head of a request to a replica, with its body's length. */
     virtual void encodeRequest(const RequestHead&, size_t bodyBytes, const ForwardOrder&, std::string& out) const = 0;
     virtual ReplicaAnswer decodeAnswer(const AnswerHead&) const = 0;
+    /** Appends a whole request to the source. */
+    virtual void encodeMemoryMove(const MemoryMove&, std::string& out) const = 0;
+    /** @return nothing when the run was not stopped, or is none. @param reason BackendRejected, or BackendError when the answer cannot be read. */
+    virtual std::optional<MemoryMoveAnswer> decodeMemoryMove(const MemoryMove&, int status, std::string_view body, LastReason& reason) const = 0;
 
     virtual StartTransfer listDocuments(StoreCollection, std::string_view after) const = 0;
     virtual StartTransfer watchDocuments(StoreCollection, uint64_t after, std::chrono::milliseconds wait) const = 0;
--- a/packages/forwarding/include/siskinspread/ReplicaDirectory.h
+++ b/packages/forwarding/include/siskinspread/ReplicaDirectory.h
@@ -24,6 +24,7 @@
     std::vector<std::shared_ptr<ReplicaConnection>> idle; /**< The most recently used last. */
     std::optional<std::chrono::milliseconds> idleTimeout; /**< As the replica told it. */
     std::unordered_map<uint64_t, MonotonicTime> residentParts; /**< Prompt parts by when this host last saw them computed here. */
+    std::optional<MonotonicTime> leavesAt; /**< When a leaving one ends at the earliest, as far as it is known. */
     std::optional<MonotonicTime> missingSince; /**< No longer in the store, which had been away. */
     bool gone { false };
 };
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -109,6 +109,9 @@
     if (m_phase == Phase::Answering) {
         order.continueAfter = m_events.lastId();
     }
+    if (!m_memoryFrom.empty()) {
+        order.memoryFrom = m_memoryFrom;
+    }
     std::string bytes;
     m_forwarder.adapter().encodeRequest(received.head, received.body.size(), order, bytes);
     bytes.append(received.body);
@@ -204,7 +207,7 @@
         return;
     }
     noteDomainBytes(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
-    if (m_request.route->resumable) {
+    if (m_request.route->resumable || isMovable()) {
         passOn(m_events.feed(bytes));
     } else {
         passOn(bytes);
@@ -303,6 +306,11 @@
     if (isDone()) {
         return;
     }
+    if (m_move) {
+        m_move->sourceEnded = true;
+        continueMoved();
+        return;
+    }
     noteFailure(m_attempt.replica->health, m_forwarder.healthOptions(), std::chrono::steady_clock::now());
     m_forwarder.log().warning("replica broke off", { { "attempt", m_request.caller.attemptId }, { "replica", m_attempt.replica->entry.instance }, { "how", nameOf(failure) }, { "after_ms", sinceMs(m_attempt.sentAt, std::chrono::steady_clock::now()) }, { "new_connection", m_attempt.newConnection } });
     if (failure == ReplicaFailure::ConnectTimedOut) {
@@ -319,6 +327,10 @@
     auto identity = m_attempt.replica->identity;
     const bool stale = !m_attempt.newConnection;
     releaseAttempt(false);
+    if (!m_memoryFrom.empty()) {
+        breakStream("the replica that was to carry the run on broke off");
+        return;
+    }
     if (!arrived) {
         --m_attempts;
         if (stale) {
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -254,6 +254,10 @@
         dropOldConnections(*replica, now);
     }
     dispatchWaiting();
+    const auto open = m_open; // a review may end an exchange
+    for (const auto& exchange : open) {
+        exchange->reviewMove(now);
+    }
     m_metrics.setReplicas(m_replicas.all().size());
     m_metrics.setLogLinesLeftOut(m_log.linesLeftOut());
 }
--- a/packages/forwarding/src/ForwardingMetrics.cpp
+++ b/packages/forwarding/src/ForwardingMetrics.cpp
@@ -28,9 +28,11 @@
         case RepeatCause::Failed:
             return "failed";
         case RepeatCause::StreamContinued:
+            return "stream_continued";
+        case RepeatCause::StreamMoved:
             break;
         }
-        return "stream_continued";
+        return "stream_moved";
     }
 
     double seconds(std::chrono::microseconds time)
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -63,11 +63,9 @@
         .placesFree = taken * 2 < places };
 }
 
-bool Forwarder::dispatch(const std::shared_ptr<Exchange>& exchange)
+std::vector<PlacementCandidate> Forwarder::placementCandidates(const Exchange& exchange, const std::vector<std::shared_ptr<Replica>>& replicas, MonotonicTime now) const
 {
-    const auto now = std::chrono::steady_clock::now();
-    const auto replicas = candidatesFor(*exchange, now);
-    const auto& request = exchange->request();
+    const auto& request = exchange.request();
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(replicas.size());
     for (const auto& replica : replicas) {
@@ -83,6 +81,25 @@
             .residentTokens = residentTokens(*replica, request.caller.prompt, now),
         });
     }
+    return candidates;
+}
+
+std::shared_ptr<Replica> Forwarder::moveTarget(const Exchange& exchange)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto replicas = candidatesFor(exchange, now);
+    const auto candidates = placementCandidates(exchange, replicas, now);
+    // Its prompt has been read: what counts is the room, and how busy the replica is.
+    const auto placement = placeRequest({ .outputTokens = static_cast<uint32_t>(exchange.tokens()), .draw = m_random() }, candidates, m_placement);
+    return placement ? replicas[placement->index] : nullptr;
+}
+
+bool Forwarder::dispatch(const std::shared_ptr<Exchange>& exchange)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto replicas = candidatesFor(*exchange, now);
+    const auto& request = exchange->request();
+    const auto candidates = placementCandidates(*exchange, replicas, now);
     const PlacementRequest wanted { .prompt = request.caller.prompt, .outputTokens = request.caller.outputTokens.value_or(0), .draw = m_random() };
     auto placement = placeRequest(wanted, candidates, m_placement);
     if (!placement) {
