--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -2,7 +2,7 @@
 
 #include "siskinspread/CallerConnection.h"
 #include "siskinspread/EventScanner.h"
-#include "siskinspread/MemoryMoveCall.h"
+#include "siskinspread/ReplicaCall.h"
 #include "siskinspread/ReplicaDirectory.h"
 #include "siskinspread/ResultCode.h"
 
@@ -105,6 +105,8 @@
     void breakStream(std::string_view why);
     /** @return whether another replica can carry the run on with the memory of the first. */
     bool isMovable() const;
+    bool mustMove(MonotonicTime now);
+    void startMove(std::shared_ptr<Replica> target, MonotonicTime now);
     void onMoved(std::optional<MemoryMoveAnswer>, const LastReason&);
     void continueMoved();
 
@@ -121,14 +123,14 @@
     EventScanner m_events;
     /** A run on its way from one replica to another. */
     struct Move {
-        std::shared_ptr<MemoryMoveCall> call; /**< Until it has been answered. */
+        std::shared_ptr<ReplicaCall> call; /**< Until it has been answered. */
         std::shared_ptr<Replica> target;
         std::string memoryFrom; /**< Once answered. */
         MonotonicTime answeredAt {};
         bool sourceEnded { false }; /**< The source has closed the stream: all of its events are here. */
     };
     std::optional<Move> m_move;
-    bool m_moveTried { false };
+    std::optional<MonotonicTime> m_moveTriedAt;
     std::string m_memoryFrom; /**< For the next attempt; see ForwardOrder. */
     bool m_streaming { false };
     bool m_usageCounted { false };
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -65,6 +65,12 @@
     /** Sends waiting requests for which there is a place now, and refuses those that have waited too long. */
     void dispatchWaiting();
 
+    /**
+     * A reclaimable replica of the service has said that it leaves. Those of its failure domain are reclaimed together, and some
+     * never say so: they are used only where there are no others until they have been asked, or the reclaim is over.
+     */
+    void suspectReclaim(const std::string& service, const std::string& failureDomain);
+
     /** Refreshes what follows time; to be called every 50 ms or so. */
     void tick(MonotonicTime now);
 
@@ -95,6 +101,8 @@
     void noteUnread(const std::string& service, uint32_t tokens);
     const ReplicaHealthOptions& healthOptions() const { return m_healthOptions; }
     bool isServing(const Replica&) const;
+    /** Asks a replica whether and when it leaves, unless it was asked lately. */
+    void askState(const std::shared_ptr<Replica>&, MonotonicTime now);
     /** @return a replica with a place for a run that another one cannot finish. */
     std::shared_ptr<Replica> moveTarget(const Exchange&);
     DomainReach& reachOf(const std::string& failureDomain) { return m_reach[failureDomain]; }
--- a/packages/forwarding/include/siskinspread/PlatformAdapter.h
+++ b/packages/forwarding/include/siskinspread/PlatformAdapter.h
@@ -73,11 +73,16 @@
     uint32_t slots { 0 };
     bool leaving { false };
     bool reclaimable { false };
-    std::optional<std::chrono::milliseconds> leavesIn; /**< Of a leaving one that is reclaimed: time from its report until it ends. */
     std::chrono::milliseconds slowStartLeft { 0 };
     int64_t startedAtMs { 0 }; /**< Unix time of its start; tells two incarnations of one instance name apart. */
 };
 
+/** What a replica answers when it is asked for its state. */
+struct ReplicaState {
+    bool leaving { false };
+    std::optional<std::chrono::milliseconds> leavesIn; /**< Until it ends, where it knows. */
+};
+
 /** Collections of documents in the platform's store. */
 enum class StoreCollection : uint8_t {
     Configuration,
@@ -153,6 +158,10 @@
     /** Appends the head of a request to a replica, with its body's length. */
     virtual void encodeRequest(const RequestHead&, size_t bodyBytes, const ForwardOrder&, std::string& out) const = 0;
     virtual ReplicaAnswer decodeAnswer(const AnswerHead&) const = 0;
+    /** Appends a whole request to the replica. */
+    virtual void encodeStateQuestion(const ReplicaEntry&, std::string& out) const = 0;
+    /** @param reason BackendError. */
+    virtual std::optional<ReplicaState> decodeState(int status, std::string_view body, LastReason& reason) const = 0;
     /** Appends a whole request to the source. */
     virtual void encodeMemoryMove(const MemoryMove&, std::string& out) const = 0;
     /** @return nothing when the run was not stopped, or is none. @param reason BackendRejected, or BackendError when the answer cannot be read. */
--- a/packages/forwarding/include/siskinspread/ReplicaDirectory.h
+++ b/packages/forwarding/include/siskinspread/ReplicaDirectory.h
@@ -25,6 +25,8 @@
     std::optional<std::chrono::milliseconds> idleTimeout; /**< As the replica told it. */
     std::unordered_map<uint64_t, MonotonicTime> residentParts; /**< Prompt parts by when this host last saw them computed here. */
     std::optional<MonotonicTime> leavesAt; /**< When a leaving one ends at the earliest, as far as it is known. */
+    std::optional<MonotonicTime> suspectedAt; /**< Others that are reclaimed together with it have said that they leave. */
+    std::optional<MonotonicTime> stateAskedAt;
     std::optional<MonotonicTime> missingSince; /**< No longer in the store, which had been away. */
     bool gone { false };
 };
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -306,7 +306,13 @@
     if (isDone()) {
         return;
     }
+    const bool arrived = failure != ReplicaFailure::ConnectFailed && failure != ReplicaFailure::ConnectTimedOut;
+    if (m_move && !arrived) {
+        m_move->call->cancel(); // there is no run to be moved
+        m_move.reset();
+    }
     if (m_move) {
+        m_run = m_run == RunState::Ran ? RunState::Ran : RunState::MayHaveRun;
         m_move->sourceEnded = true;
         continueMoved();
         return;
@@ -316,7 +322,6 @@
     if (failure == ReplicaFailure::ConnectTimedOut) {
         noteDomainTimeout(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
     }
-    const bool arrived = failure != ReplicaFailure::ConnectFailed && failure != ReplicaFailure::ConnectTimedOut;
     if (arrived) {
         m_run = m_run == RunState::Ran ? RunState::Ran : RunState::MayHaveRun;
         if (!m_usageCounted) {
--- a/packages/forwarding/src/ExchangeMove.cpp
+++ b/packages/forwarding/src/ExchangeMove.cpp
@@ -12,6 +12,8 @@
     // Before a replica ends: the order, the copy and the news' own delay fit in, and most streams have ended by themselves until then.
     constexpr milliseconds moveLead { 900 };
     constexpr milliseconds moveTimeout { 800 };
+    constexpr milliseconds tryAgainAfter { 200 }; // a run that had not begun yet, or found no room
+    constexpr milliseconds answerPatience { 150 }; // for a replica that is asked when it ends
     constexpr milliseconds closingTime { 150 }; // in which a source that has stopped a run closes its stream
 
 } // namespace
@@ -21,6 +23,24 @@
     return m_request.route->streaming && m_request.service->engine && m_request.service->engine->movesMemory;
 }
 
+/** @return whether the replica ends soon. Asks it when that is not known. */
+bool Exchange::mustMove(MonotonicTime now)
+{
+    const auto& source = m_attempt.replica;
+    if (!source->gone && !source->entry.leaving && !source->suspectedAt) {
+        return false;
+    }
+    if (!source->leavesAt) {
+        m_forwarder.askState(source, now);
+    }
+    // Without an answer: reclaimed ones may end at once, others stay for the time that their leaving takes to be in force.
+    const auto notice = source->entry.reclaimable ? moveLead : m_forwarder.settings().bounds.drainInForce;
+    if ((source->gone || source->entry.leaving) && !source->leavesAt && source->stateAskedAt && now - *source->stateAskedAt > answerPatience) {
+        source->leavesAt = now + notice;
+    }
+    return source->leavesAt && now + moveLead >= *source->leavesAt;
+}
+
 void Exchange::reviewMove(MonotonicTime now)
 {
     if (m_move && !m_move->call && now - m_move->answeredAt > closingTime) {
@@ -28,37 +48,37 @@
         continueMoved();
         return;
     }
-    if (m_phase != Phase::Answering || m_moveTried || m_request.route->resumable || !isMovable()) {
-        return;
-    }
-    auto& source = *m_attempt.replica;
-    if (!source.gone && !source.entry.leaving) {
-        return;
-    }
-    if (!source.leavesAt) {
-        source.leavesAt = now + source.entry.leavesIn.value_or(m_forwarder.settings().bounds.drainInForce);
-    }
-    if (now + moveLead < *source.leavesAt) {
+    const bool isRunning = m_phase == Phase::Answering || m_phase == Phase::Sent;
+    const bool tried = m_moveTriedAt && now - *m_moveTriedAt < tryAgainAfter;
+    if (!isRunning || m_move || tried || m_request.route->resumable || !isMovable() || !mustMove(now)) {
         return;
     }
     auto target = m_forwarder.moveTarget(*this);
-    if (!target || !m_forwarder.claimRetry(m_request.service->name)) {
-        return; // looked at again until the replica ends
+    if (target && m_forwarder.claimRetry(m_request.service->name)) {
+        startMove(std::move(target), now);
     }
-    m_moveTried = true;
-    m_forwarder.log().info("run moves", { { "attempt", m_request.caller.attemptId }, { "from", source.entry.instance }, { "to", target->entry.instance }, { "leaves_in_ms", std::chrono::duration_cast<milliseconds>(*source.leavesAt - now) }, { "after_event", m_events.lastId().value_or(0) } });
+}
+
+void Exchange::startMove(std::shared_ptr<Replica> target, MonotonicTime now)
+{
+    m_moveTriedAt = now;
+    const auto& source = m_attempt.replica->entry;
+    m_forwarder.log().info("run moves", { { "attempt", m_request.caller.attemptId }, { "from", source.instance }, { "to", target->entry.instance }, { "leaves_in_ms", std::chrono::duration_cast<milliseconds>(*m_attempt.replica->leavesAt - now) }, { "after_event", m_events.lastId().value_or(0) } });
     const MemoryMove move { .attemptId = m_request.caller.attemptId,
-        .sourceAddress = source.entry.address,
-        .sourcePort = source.entry.port,
+        .sourceAddress = source.address,
+        .sourcePort = source.port,
         .targetAddress = target->entry.address,
         .targetPort = target->entry.port };
-    auto call = std::make_shared<MemoryMoveCall>(m_forwarder.context(), m_forwarder.adapter(), move, [weak = weak_from_this()](std::optional<MemoryMoveAnswer> answer, const LastReason& reason) {
+    auto call = std::make_shared<ReplicaCall>(m_forwarder.context(), NetworkAddress { source.address, source.port }, [weak = weak_from_this(), move](std::optional<ReplicaCallAnswer> answer) {
         if (auto self = weak.lock()) {
-            self->onMoved(std::move(answer), reason);
+            LastReason reason { .code = ResultCode::BackendStreamBroken, .detail = "no answer" };
+            self->onMoved(answer ? self->m_forwarder.adapter().decodeMemoryMove(move, answer->status, answer->body, reason) : std::nullopt, reason);
         }
     });
     m_move = Move { .call = call, .target = std::move(target) };
-    call->start(moveTimeout);
+    std::string bytes;
+    m_forwarder.adapter().encodeMemoryMove(move, bytes);
+    call->start(std::move(bytes), moveTimeout);
 }
 
 void Exchange::onMoved(std::optional<MemoryMoveAnswer> answer, const LastReason& reason)
@@ -67,13 +87,17 @@
         return;
     }
     m_move->call.reset();
-    m_forwarder.log().info("run moved", { { "attempt", m_request.caller.attemptId }, { "copied", answer && answer->copied }, { "stopped", answer.has_value() }, { "why", reason.detail } });
+    m_forwarder.log().info("run moved", { { "attempt", m_request.caller.attemptId }, { "copied", answer && answer->copied }, { "stopped", answer.has_value() }, { "why", answer ? "" : reason.detail } });
     if (!answer) {
         const bool ended = m_move->sourceEnded;
         m_move.reset();
         if (ended) {
             releaseAttempt(false);
-            breakStream("the replica broke off and the run was not moved");
+            if (m_phase == Phase::Answering) {
+                breakStream("the replica broke off and the run was not moved");
+            } else {
+                fail(502, ResultCode::BackendStreamBroken, "the replica broke off, and the request may have run");
+            }
         }
         return;
     }
@@ -93,7 +117,9 @@
     }
     const auto move = std::move(*m_move);
     m_move.reset();
-    m_moveTried = move.target == m_attempt.replica; // another target may have to leave as well
+    if (move.target != m_attempt.replica) {
+        m_moveTriedAt.reset(); // the target may have to leave as well
+    }
     releaseAttempt(false);
     m_events.dropPart();
     m_memoryFrom = move.memoryFrom;
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -168,7 +168,10 @@
         if (change == ReplicaDirectory::Change::Updated) {
             return;
         }
-        m_log.info("replica known", { { "replica", entry->instance }, { "service", entry->service }, { "domain", entry->failureDomain }, { "leaving", entry->leaving }, { "restarted", change == ReplicaDirectory::Change::Restarted }, { "revision", document.revision } });
+        m_log.info("replica known", { { "replica", entry->instance }, { "service", entry->service }, { "domain", entry->failureDomain }, { "leaving", entry->leaving }, { "reclaimable", entry->reclaimable }, { "restarted", change == ReplicaDirectory::Change::Restarted }, { "revision", document.revision } });
+        if (entry->leaving && entry->reclaimable) {
+            m_forwarder.suspectReclaim(entry->service, entry->failureDomain);
+        }
         m_forwarder.placeFreed();
     }
 
--- /dev/null
+++ b/packages/forwarding/src/ReplicaCall.cpp
@@ -0,0 +1,67 @@
+#include "siskinspread/ReplicaCall.h"
+
+namespace siskinspread {
+
+namespace {
+
+    constexpr size_t maxAnswerBytes = 64U << 10U; // a report lists what runs at a replica
+
+} // namespace
+
+ReplicaCall::ReplicaCall(asio::io_context& context, NetworkAddress address, Ended ended)
+    : m_ended(std::move(ended))
+    , m_connection(std::make_shared<ReplicaConnection>(context, std::move(address)))
+    , m_timer(context)
+{
+}
+
+void ReplicaCall::start(std::string bytes, std::chrono::milliseconds timeout)
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([weak = weak_from_this()](const asio::error_code& cancelled) {
+        if (auto self = weak.lock(); self && !cancelled) {
+            self->end(std::nullopt);
+        }
+    });
+    m_connection->send(std::move(bytes), true, timeout, shared_from_this());
+}
+
+void ReplicaCall::cancel()
+{
+    m_ended = nullptr;
+    m_timer.cancel();
+    m_connection->close();
+}
+
+bool ReplicaCall::onAnswerHead(AnswerHead&& head)
+{
+    m_answer.status = head.status;
+    return true;
+}
+
+void ReplicaCall::onAnswerBody(std::string_view bytes)
+{
+    m_answer.body.append(bytes.substr(0, maxAnswerBytes - std::min(maxAnswerBytes, m_answer.body.size())));
+}
+
+void ReplicaCall::onAnswerComplete()
+{
+    end(std::move(m_answer));
+}
+
+void ReplicaCall::onAnswerBroken(ReplicaFailure)
+{
+    end(std::nullopt);
+}
+
+void ReplicaCall::end(std::optional<ReplicaCallAnswer> answer)
+{
+    auto self = shared_from_this();
+    auto ended = std::move(m_ended);
+    cancel();
+    if (ended) {
+        ended(std::move(answer));
+    }
+}
+
+} // namespace siskinspread
--- /dev/null
+++ b/packages/forwarding/src/ReplicaStates.cpp
@@ -0,0 +1,41 @@
+// The part of Forwarder that asks replicas for their state.
+#include "siskinspread/Forwarder.h"
+
+#include "siskinspread/ReplicaCall.h"
+
+namespace siskinspread {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds askAgainAfter { 800 };
+    constexpr milliseconds answerTimeout { 500 };
+    constexpr milliseconds reportAge { 300 }; // a report shows the state of some hundred milliseconds ago
+    // Of a reclaimable replica that does not say when it ends: a reclaim may give little more than this.
+    constexpr milliseconds shortestNotice { 1000 };
+
+} // namespace
+
+void Forwarder::askState(const std::shared_ptr<Replica>& replica, MonotonicTime now)
+{
+    if (replica->stateAskedAt && now - *replica->stateAskedAt < askAgainAfter) {
+        return;
+    }
+    replica->stateAskedAt = now;
+    const auto& entry = replica->entry;
+    std::string bytes;
+    m_adapter.encodeStateQuestion(entry, bytes);
+    auto call = std::make_shared<ReplicaCall>(m_context, NetworkAddress { entry.address, entry.port }, [this, replica, now](std::optional<ReplicaCallAnswer> answer) {
+        LastReason reason { .code = ResultCode::BackendError, .detail = "no answer" };
+        const auto state = answer ? m_adapter.decodeState(answer->status, answer->body, reason) : std::nullopt;
+        m_log.info("replica asked", { { "replica", replica->entry.instance }, { "leaving", state && state->leaving }, { "leaves_in_ms", state && state->leavesIn ? *state->leavesIn : milliseconds { -1 } }, { "why", state ? "" : reason.detail } });
+        if (state && state->leaving) {
+            replica->entry.leaving = true;
+            replica->leavesAt = now + std::max(milliseconds { 0 }, state->leavesIn ? *state->leavesIn - reportAge : (replica->entry.reclaimable ? shortestNotice : m_settings.bounds.drainInForce));
+        }
+    });
+    call->start(std::move(bytes), answerTimeout);
+}
+
+} // namespace siskinspread
