Refuse streams two seconds after the signal to stop

Ruled out: the moves of streams (none of it). Change: from a quarter of the grace on streams are refused, with a time to come back; other requests as before.

--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -56,6 +56,9 @@
     /** @param silence of a peer after which it is assumed to spend of the customers' limits what others do not know of. */
     void setPeerSilence(std::chrono::milliseconds silence) { m_quotaOptions.silentAfter = silence; }
 
+    /** From here on streams are refused: they may last longer than what is left of the grace. Idempotent. */
+    void refuseStreams() { m_refusesStreams = true; }
+
     /** From here on requests are refused: what is in progress has the rest of the grace. Idempotent. */
     void beginDraining() { m_draining = true; }
 
@@ -146,6 +149,7 @@
     uint64_t m_sequence { 0 };
     size_t m_hosts { 1 };
     bool m_dispatchPosted { false };
+    bool m_refusesStreams { false };
     bool m_draining { false };
 };
 
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -105,6 +105,10 @@
     }
     const auto host = findHeader(request.received.head.headers, "Host").value_or("");
     request.route = m_table->findRoute(host, pathOf(request.received.head.target));
+    if (request.route != nullptr && request.route->streaming && m_refusesStreams) {
+        refuse(request.received, id, ResultCode::Draining, 503, drainingDelay, "the host stops, and the stream could outlast it");
+        return std::nullopt;
+    }
     if (request.route == nullptr) {
         refuse(request.received, id, ResultCode::UnknownService, 404, milliseconds { 0 }, "no route for host and path");
         return std::nullopt;
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -33,6 +33,8 @@
     constexpr milliseconds lapsePatience { 1700 };
     // The balancer asks every second and needs two misses; until then new connections still come. Part of the grace: 3 s of 8.
     constexpr double outOfRotation = 0.375;
+    // A stream that begins later may outlast the grace: its queue and its tokens take up to 6 s of 8.
+    constexpr double lastStream = 0.25;
     constexpr milliseconds stopMargin { 350 };
     // Of the bound for keys: more than the age that the proof has between two answers, and early enough for the balancer, which
     // takes 2 s, to move callers before keys have to be refused.
@@ -341,6 +343,9 @@
     /** @return whether the loop has been told to end. */
     bool continueStop(MonotonicTime now)
     {
+        if (now - m_stopAt >= m_settings.bounds.stopGrace * lastStream) {
+            m_forwarder.refuseStreams();
+        }
         if (now - m_stopAt < m_settings.bounds.stopGrace * outOfRotation) {
             return false;
         }
