Keep suspected replicas in use until they say that they leave; let ordinary replicas take the places of a dry domain

Change: a dry domain keeps one place more than its reclaimable replicas for them, to find out when there are some again. FleetPlanTest.cpp: 4 ordinary of 100 before.

--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -32,7 +32,13 @@
             auto& order = orders[index];
             // One place is left for the ordinary replica that each domain has.
             order.reclaimable = std::min(limits.maxPerDomain - std::min(limits.maxPerDomain, 1U), std::max(1U, each));
-            expected += domains[index].reclaimableDry ? std::min(order.reclaimable, domains[index].reclaimable) : order.reclaimable;
+            if (domains[index].reclaimableDry) {
+                // One more than there are finds out when there are some again, and leaves its place to ordinary ones.
+                expected += std::min(order.reclaimable, domains[index].reclaimable);
+                order.reclaimable = std::min(order.reclaimable, domains[index].reclaimable + 1);
+            } else {
+                expected += order.reclaimable;
+            }
         }
     }
     const double share = reclaimableOffered ? options.ordinaryShare : 1.0;
--- a/packages/decisions/tests/FleetPlanTest.cpp
+++ b/packages/decisions/tests/FleetPlanTest.cpp
@@ -83,3 +83,29 @@
         }
     }));
 }
+
+TEST_CASE("where no reclaimable replicas are to be had, ordinary ones may take all places of the domains")
+{
+    const FleetLimits wide { .minPerDomain = 1, .maxPerDomain = 30, .reclaimablePrice = 0.22, .slots = 48 };
+    std::vector<DomainFleet> domains;
+    for (const char* name : { "a", "b", "c", "d" }) {
+        domains.push_back({ .domain = name, .reclaimableDry = true });
+    }
+    uint32_t ordinary = 0;
+    for (const auto& order : planFleet(260, domains, wide, {})) {
+        ordinary += order.ordinary;
+        CHECK(order.ordinary + order.reclaimable <= wide.maxPerDomain);
+        CHECK(order.reclaimable >= 1); // asked for again, to find out when there are some
+    }
+    CHECK(ordinary >= 100);
+}
+
+TEST_CASE("a domain that is dry keeps the reclaimable replicas that it has")
+{
+    const FleetLimits wide { .minPerDomain = 1, .maxPerDomain = 30, .reclaimablePrice = 0.22, .slots = 48 };
+    const std::vector<DomainFleet> domains { { .domain = "a", .reclaimable = 12, .reclaimableDry = true }, { .domain = "b", .reclaimable = 20 } };
+    const auto orders = planFleet(60, domains, wide, {});
+    CHECK(orders[0].reclaimable >= 12);
+    CHECK(orders[0].ordinary + orders[0].reclaimable <= wide.maxPerDomain);
+    CHECK(orders[0].ordinary + orders[1].ordinary >= 10);
+}
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -70,7 +70,7 @@
 
     /**
      * A reclaimable replica of the service has said that it leaves. Those of its failure domain are reclaimed together, and some
-     * never say so: they are used only where there are no others until they have been asked, or the reclaim is over.
+     * never say so: those with runs that could be moved are asked until the reclaim is over.
      */
     void suspectReclaim(const std::string& service, const std::string& failureDomain);
 
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -9,32 +9,12 @@
 
     using std::chrono::milliseconds;
 
-    // A reclaim ends replicas 1 s to 2.5 s after the notice; afterwards those that are still there were not meant.
-    constexpr milliseconds reclaimTime { 3000 };
-
     constexpr size_t maxWaiting = 512; // requests; more could not be served before their deadlines
     // Waiting requests are refused when nothing proves the keys current any more; the store has usually been read by then.
     constexpr milliseconds outOfDateDelay { 500 };
 
-    bool isReclaimSuspected(const Replica& replica, MonotonicTime now)
-    {
-        return replica.suspectedAt && now - *replica.suspectedAt < reclaimTime;
-    }
-
 } // namespace
 
-void Forwarder::suspectReclaim(const std::string& service, const std::string& failureDomain)
-{
-    const auto now = std::chrono::steady_clock::now();
-    for (const auto& replica : m_replicas.ofService(service)) {
-        if (replica->entry.reclaimable && !replica->entry.leaving && replica->entry.failureDomain == failureDomain && !isReclaimSuspected(*replica, now)) {
-            m_log.info("reclaim suspected", { { "replica", replica->entry.instance }, { "domain", failureDomain }, { "requests", replica->ownLoad.requests } });
-            replica->suspectedAt = now;
-            replica->stateAskedAt.reset();
-        }
-    }
-}
-
 bool Forwarder::isServing(const Replica& replica) const
 {
     return !replica.gone && !replica.entry.leaving;
@@ -49,7 +29,7 @@
         if (!isServing(*replica) || exchange.wasSentTo(replica->identity)) {
             continue;
         }
-        if (m_doubted.contains(replica->entry.failureDomain) || isReclaimSuspected(*replica, now)) {
+        if (m_doubted.contains(replica->entry.failureDomain)) {
             doubted.push_back(replica);
         } else {
             (isUsable(replica->health, now) ? usable : heldOut).push_back(replica);
--- a/packages/forwarding/src/ReplicaStates.cpp
+++ b/packages/forwarding/src/ReplicaStates.cpp
@@ -14,12 +14,33 @@
     constexpr milliseconds reportAge { 300 }; // a report shows the state of some hundred milliseconds ago
     // Of a reclaimable replica that does not say when it ends: a reclaim may give little more than this.
     constexpr milliseconds shortestNotice { 1000 };
+    // A reclaim ends replicas 1 s to 2.5 s after the notice; afterwards those that are still there were not meant.
+    constexpr milliseconds reclaimTime { 3000 };
+
+    bool isReclaimSuspected(const Replica& replica, MonotonicTime now)
+    {
+        return replica.suspectedAt && now - *replica.suspectedAt < reclaimTime;
+    }
 
 } // namespace
 
+void Forwarder::suspectReclaim(const std::string& service, const std::string& failureDomain)
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto& replica : m_replicas.ofService(service)) {
+        if (replica->entry.reclaimable && !replica->entry.leaving && replica->entry.failureDomain == failureDomain && !isReclaimSuspected(*replica, now)) {
+            m_log.info("reclaim suspected", { { "replica", replica->entry.instance }, { "domain", failureDomain }, { "requests", replica->ownLoad.requests } });
+            replica->suspectedAt = now;
+            replica->stateAskedAt.reset();
+        }
+    }
+}
+
 void Forwarder::askState(const std::shared_ptr<Replica>& replica, MonotonicTime now)
 {
-    if (replica->stateAskedAt && now - *replica->stateAskedAt < askAgainAfter) {
+    const bool lately = replica->stateAskedAt && now - *replica->stateAskedAt < askAgainAfter;
+    const bool mayLeave = replica->gone || replica->entry.leaving || isReclaimSuspected(*replica, now);
+    if (lately || !mayLeave) {
         return;
     }
     replica->stateAskedAt = now;
