--- a/tests/process/support/ChildProcess.cpp
+++ b/tests/process/support/ChildProcess.cpp
@@ -35,13 +35,13 @@
     }
 
     /** Runs in the child between fork and exec: async-signal-safe calls only. */
-    [[noreturn]] void executeChild(const char* errorFile, char* const* argv, int output, pid_t parent)
+    [[noreturn]] void executeChild(const char* outputFile, const char* errorFile, char* const* argv, int output, pid_t parent)
     {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         if (getppid() != parent) { // the parent died before the request above
             _exit(execFailedExitCode);
         }
-        dup2(output, STDOUT_FILENO);
+        dup2(outputFile != nullptr ? open(outputFile, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600) : output, STDOUT_FILENO);
         if (errorFile != nullptr) {
             const int error = open(errorFile, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
             dup2(error, STDERR_FILENO);
@@ -72,11 +72,12 @@
         throwErrno("pipe2");
     }
     const auto argv = toArgv(options);
+    const char* outputFile = options.outputFile.empty() ? nullptr : options.outputFile.c_str();
     const char* errorFile = options.errorFile.empty() ? nullptr : options.errorFile.c_str();
     const pid_t parent = getpid();
     m_pid = fork();
     if (m_pid == 0) {
-        executeChild(errorFile, argv.data(), output[1], parent);
+        executeChild(outputFile, errorFile, argv.data(), output[1], parent);
     }
     close(output[1]);
     m_output = output[0];
--- a/tests/process/support/ChildProcess.h
+++ b/tests/process/support/ChildProcess.h
@@ -12,6 +12,7 @@
 struct ProcessOptions {
     std::string program; /**< Path of the executable. */
     std::vector<std::string> arguments;
+    std::string outputFile; /**< Where standard output goes; empty: to readLine. */
     std::string errorFile; /**< Where standard error goes; empty: to that of the test. */
 };
 
--- /dev/null
+++ b/tests/soak/SoakLedger.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace siskinspread::soak {
+
+using SoakTime = std::chrono::steady_clock::time_point;
+
+/** Whether and how a request may be repeated. */
+enum class RequestKind : uint8_t {
+    Once,
+    Repeatable,
+    Stream, /**< May be resumed. */
+};
+
+/** One request as its caller and the replicas saw it. */
+struct Attempt {
+    std::string id;
+    RequestKind kind { RequestKind::Once };
+    std::string host;
+    std::string key;
+    SoakTime sentAt {};
+    std::optional<SoakTime> endedAt;
+    uint32_t runs { 0 }; /**< At replicas. */
+    uint64_t eventsRun { 0 }; /**< Highest event that any replica made. */
+    std::optional<int> status; /**< Empty: the connection ended without an answer. */
+    bool sealed { false };
+    bool complete { false };
+    std::string body;
+};
+
+/** All requests of one soak, and what was done to keys. */
+struct Ledger {
+    std::map<std::string, Attempt> attempts;
+    std::map<std::string, SoakTime> revoked; /**< When the store had acknowledged that the key is gone. */
+    std::vector<std::string> problems; /**< Seen on the way. */
+};
+
+/** Bounds that the checks use; from the hosts' settings. */
+struct SoakBounds {
+    std::chrono::milliseconds revocation { 3000 };
+    std::chrono::milliseconds timeout { 1500 }; /**< Of every route. */
+    std::chrono::milliseconds stopGrace { 2400 };
+    std::chrono::milliseconds recovery { 15000 };
+    uint64_t eventsOfStream { 5 };
+};
+
+/**
+ * @return what is wrong with the attempts: ran twice, refused as not run but ran, foreign or changed answers, events missing
+ * or doubled, keys accepted after their end. Thread safety: reentrant.
+ */
+std::vector<std::string> problemsOf(const Ledger&, const SoakBounds&);
+
+} // namespace siskinspread::soak
--- /dev/null
+++ b/tests/soak/SoakLedgerTest.cpp
@@ -0,0 +1,59 @@
+#include "SoakLedger.h"
+
+#include <doctest/doctest.h>
+
+using namespace siskinspread::soak;
+using std::chrono::milliseconds;
+
+namespace {
+
+const SoakTime start { std::chrono::hours { 1 } };
+
+size_t problemsWith(const Attempt& attempt, const Ledger& ledger = {})
+{
+    Ledger one = ledger;
+    one.attempts["a"] = attempt;
+    return problemsOf(one, {}).size();
+}
+
+} // namespace
+
+TEST_CASE("the soak's checks find what they are for, and nothing else")
+{
+    const Attempt good { .id = "a", .sentAt = start, .runs = 1, .status = 200, .sealed = true, .complete = true, .body = "done a" };
+    CHECK(problemsWith(good) == 0);
+    auto twice = good;
+    twice.runs = 2;
+    CHECK(problemsWith(twice) == 1);
+    twice.kind = RequestKind::Repeatable;
+    CHECK(problemsWith(twice) == 0);
+    auto foreign = good;
+    foreign.body = "done b";
+    CHECK(problemsWith(foreign) == 1);
+    CHECK(problemsWith({ .id = "a", .sentAt = start, .runs = 1, .status = 503 }) == 1);
+    CHECK(problemsWith({ .id = "a", .sentAt = start, .runs = 0, .status = 503 }) == 0);
+    CHECK(problemsWith({ .id = "a", .sentAt = start, .runs = 1, .status = 502 }) == 0);
+    CHECK(problemsWith({ .id = "a", .sentAt = start, .runs = 1 }) == 0);
+}
+
+TEST_CASE("a stream may break off, but its events are whole and in order")
+{
+    const std::string first = "id: 1\ndata: a\n\n";
+    Attempt stream { .id = "a", .kind = RequestKind::Stream, .sentAt = start, .runs = 2, .status = 200, .sealed = true, .body = first };
+    CHECK(problemsWith(stream) == 0);
+    stream.complete = true;
+    CHECK(problemsWith(stream) == 1);
+    stream.complete = false;
+    stream.body = first + first;
+    CHECK(problemsWith(stream) == 1);
+}
+
+TEST_CASE("a key may be accepted until its end is in force")
+{
+    Ledger ledger;
+    ledger.revoked["k"] = start;
+    Attempt late { .id = "a", .key = "k", .sentAt = start + milliseconds { 2900 }, .runs = 1, .status = 200, .sealed = true, .complete = true, .body = "done a" };
+    CHECK(problemsWith(late, ledger) == 0);
+    late.sentAt = start + milliseconds { 3100 };
+    CHECK(problemsWith(late, ledger) == 1);
+}
