--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -146,6 +146,8 @@
     ReplicaHealthOptions m_healthOptions;
     SharedQuotaOptions m_quotaOptions;
     std::mt19937_64 m_random { std::random_device {}() };
+    std::map<uint64_t, std::shared_ptr<ReplicaCall>> m_stateCalls; /**< Questions that are not answered yet. */
+    uint64_t m_lastStateCall { 0 };
     uint64_t m_sequence { 0 };
     size_t m_hosts { 1 };
     bool m_dispatchPosted { false };
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -49,6 +49,9 @@
 
 Forwarder::~Forwarder()
 {
+    for (const auto& [number, call] : m_stateCalls) {
+        call->cancel();
+    }
     m_waiting.clear();
     for (const auto& exchange : m_open) {
         exchange->abandon();
--- a/packages/forwarding/src/ReplicaStates.cpp
+++ b/packages/forwarding/src/ReplicaStates.cpp
@@ -47,7 +47,9 @@
     const auto& entry = replica->entry;
     std::string bytes;
     m_adapter.encodeStateQuestion(entry, bytes);
-    auto call = std::make_shared<ReplicaCall>(m_context, NetworkAddress { entry.address, entry.port }, [this, replica, now](std::optional<ReplicaCallAnswer> answer) {
+    const auto number = ++m_lastStateCall;
+    auto call = std::make_shared<ReplicaCall>(m_context, NetworkAddress { entry.address, entry.port }, [this, replica, now, number](std::optional<ReplicaCallAnswer> answer) {
+        m_stateCalls.erase(number);
         LastReason reason { .code = ResultCode::BackendError, .detail = "no answer" };
         const auto state = answer ? m_adapter.decodeState(answer->status, answer->body, reason) : std::nullopt;
         m_log.info("replica asked", { { "replica", replica->entry.instance }, { "leaving", state && state->leaving }, { "leaves_in_ms", state && state->leavesIn ? *state->leavesIn : milliseconds { -1 } }, { "why", state ? "" : reason.detail } });
@@ -56,6 +58,7 @@
             replica->leavesAt = now + std::max(milliseconds { 0 }, state->leavesIn ? *state->leavesIn - reportAge : (replica->entry.reclaimable ? shortestNotice : m_settings.bounds.drainInForce));
         }
     });
+    m_stateCalls[number] = call;
     call->start(std::move(bytes), answerTimeout);
 }
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -49,6 +49,15 @@
     }
 }
 
+Soak::~Soak()
+{
+    for (const auto& side : m_sides) {
+        for (const auto& caller : side.callers) {
+            caller->close();
+        }
+    }
+}
+
 void Soak::tell(const std::string& what)
 {
     const auto at = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_startedAt);
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -28,6 +28,9 @@
 class Soak {
 public:
     explicit Soak(SoakOptions);
+    ~Soak();
+    Soak(const Soak&) = delete;
+    Soak& operator=(const Soak&) = delete;
 
     /** Runs the whole soak. @return what was wrong, empty when nothing was. */
     std::vector<std::string> run();
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -41,6 +41,13 @@
     m_connection->send(std::move(bytes), true, connectTimeout, shared_from_this());
 }
 
+void SoakCaller::close()
+{
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
 bool SoakCaller::onAnswerHead(AnswerHead&& head)
 {
     auto& attempt = m_ledger.attempts[m_current];
--- a/tests/soak/SoakCaller.h
+++ b/tests/soak/SoakCaller.h
@@ -20,6 +20,9 @@
     /** Precondition: isIdle. @param id of the attempt, new. */
     void send(const std::string& id, RequestKind, const std::string& key);
 
+    /** Lets go of the connection, which refers back to the caller. */
+    void close();
+
     bool onAnswerHead(AnswerHead&&) override;
     void onAnswerBody(std::string_view) override;
     void onAnswerComplete() override;
