--- a/packages/forwarding/src/StoreNews.cpp
+++ b/packages/forwarding/src/StoreNews.cpp
@@ -21,7 +21,7 @@
         for (const auto& batch : news.batches) {
             auto& changes = *message.add_batches();
             changes.set_from(batch.from);
-            changes.set_as_of(batch.asOf);
+            changes.set_through(batch.asOf);
             for (const auto& one : batch.changes) {
                 auto& change = *changes.add_changes();
                 change.set_name(one.change.document.name);
@@ -50,7 +50,7 @@
     {
         FeedNews news { .age = std::chrono::microseconds { message.age_us() } };
         for (const auto& changes : message.batches()) {
-            FeedBatch batch { .from = changes.from(), .asOf = changes.as_of() };
+            FeedBatch batch { .from = changes.from(), .asOf = changes.through() };
             for (const auto& change : changes.changes()) {
                 batch.changes.push_back(decode(change));
             }
