Include a standard header before Asio in the soak's proxy

Ruled out: the standard versions and definitions of the units (all alike). No other header or source file of the forwarding path begins with Asio.

--- a/tests/soak/SoakProxy.h
+++ b/tests/soak/SoakProxy.h
@@ -1,13 +1,14 @@
 #pragma once
 
-#include <asio.hpp>
-
+// Asio chooses how it allocates by a macro of the standard library: one of its headers has to come first in every source file.
 #include <array>
 #include <chrono>
 #include <cstdint>
 #include <list>
 #include <memory>
 
+#include <asio.hpp>
+
 namespace siskinspread::soak {
 
 /** What a proxy does with what it carries. */
