--- a/packages/forwarding/tests/PeerLoadsTest.cpp
+++ b/packages/forwarding/tests/PeerLoadsTest.cpp
@@ -39,10 +39,10 @@
         for (const auto& [host, atA, atB] : steps) {
             LoadsOfHost told;
             if (atA > 0) {
-                told[replicas.find("a")->identity] = { .requests = static_cast<uint32_t>(atA), .unreadTokens = 10U * static_cast<uint32_t>(atA), .heldTokens = 7 };
+                told[replicas.find("a")->identity] = { .requests = static_cast<uint32_t>(atA), .unreadTokens = 10 * static_cast<uint64_t>(atA), .heldTokens = 7 };
             }
             if (atB > 0) {
-                told[replicas.find("b")->identity] = { .requests = static_cast<uint32_t>(atB), .unreadTokens = 3, .heldTokens = 5U * static_cast<uint32_t>(atB) };
+                told[replicas.find("b")->identity] = { .requests = static_cast<uint32_t>(atB), .unreadTokens = 3, .heldTokens = 5 * static_cast<uint64_t>(atB) };
             }
             if (atA == 3 && atB == 3) {
                 forgetPeerLoads(loads, std::to_string(host), replicas);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -13,7 +13,7 @@
 
     constexpr milliseconds turn { 5 };
     constexpr milliseconds startTime { 10000 };
-    constexpr int portsPerHost = 4;
+    constexpr size_t portsPerHost = 4;
     // Beyond a route's timeout, for a request of a host that runs: scheduling, and a connection that waited to be accepted.
     constexpr milliseconds answerSlack { 2500 };
     constexpr LinkFault linkFaults[] { LinkFault::Delay, LinkFault::LoseAnswers, LinkFault::Silence };
@@ -32,7 +32,7 @@
     , m_random(m_options.seed)
     , m_startedAt(std::chrono::steady_clock::now())
 {
-    const auto ports = testing::freePorts(static_cast<size_t>(m_options.hosts * portsPerHost));
+    const auto ports = testing::freePorts(static_cast<size_t>(m_options.hosts) * portsPerHost);
     for (int number = 0; number < m_options.replicas; ++number) {
         auto replica = std::make_unique<SoakReplica>(m_context, "i-" + std::to_string(++m_lastInstance), m_ledger, m_random());
         auto link = std::make_unique<SoakProxy>(m_context, replica->endpoint());
@@ -41,7 +41,7 @@
     for (int number = 0; number < m_options.hosts; ++number) {
         Side side;
         side.store = std::make_unique<SoakProxy>(m_context, asio::ip::tcp::endpoint { asio::ip::make_address("127.0.0.1"), m_platform.address().port });
-        side.host = std::make_unique<SoakHost>(m_options.places, number + 1, ports[static_cast<size_t>(number * portsPerHost)], side.store->port());
+        side.host = std::make_unique<SoakHost>(m_options.places, number + 1, ports[static_cast<size_t>(number) * portsPerHost], side.store->port());
         for (int caller = 0; caller < m_options.callersPerHost; ++caller) {
             side.callers.push_back(std::make_shared<SoakCaller>(m_context, NetworkAddress { side.host->address(), side.host->callersPort() }, side.host->name(), m_ledger));
         }
