Leave out replicas that say in an answer that they leave or want a pause, and bound what is no answer

Cause: only a replica's entry in the store told that it leaves; the header of its answers was passed over, so requests went on to it until the store's news arrived, and an entry that was lost and came back brought it into use again. A 503 with a time to come back was treated as any refusal.

Ruled out: blank lines, status lines, headers, chunk sizes, extensions and trailers without end; the library bounds each at 80 KB. They have a bound of our own now that a test plays.

Change: the adapter decodes both headers (any status; a 421 speaks for another replica). ReplicaDirectory remembers incarnations that left beyond the end of their entries, 4,096 at most; peers tell each other, also hosts that start later. A paused replica is sent no request, question or move. When no replica can take a request in time the caller is told at once (WaitOutlook.h), with the end of the first pause. Pauses are bounded to an hour; dates, negative and unreadable values ask for none. A large success without a length is passed on as it comes, in place of being gathered whole.

--- /dev/null
+++ b/packages/decisions/tests/WaitOutlookTest.cpp
@@ -0,0 +1,19 @@
+#include "siskinspread/WaitOutlook.h"
+
+#include <doctest/doctest.h>
+
+using namespace siskinspread;
+using std::chrono::milliseconds;
+
+TEST_CASE("a request waits while a replica may take it in time")
+{
+    CHECK(judgeWait({ .replicas = 3, .accepting = 1, .patienceLeft = milliseconds { 0 } }) == WaitVerdict::Wait);
+    CHECK(judgeWait({ .replicas = 2, .accepting = 0, .pauseEndsIn = milliseconds { 150 }, .patienceLeft = milliseconds { 150 } }) == WaitVerdict::Wait);
+}
+
+TEST_CASE("a request that no replica can take in time is told so at once")
+{
+    CHECK(judgeWait({ .replicas = 0, .patienceLeft = milliseconds { 500 } }) == WaitVerdict::NoReplica);
+    CHECK(judgeWait({ .replicas = 2, .accepting = 0, .pauseEndsIn = milliseconds { 151 }, .patienceLeft = milliseconds { 150 } }) == WaitVerdict::AllPaused);
+    CHECK(judgeWait({ .replicas = 2, .accepting = 0, .pauseEndsIn = milliseconds { 1 }, .patienceLeft = milliseconds { -20 } }) == WaitVerdict::AllPaused);
+}
--- a/packages/forwarding/include/siskinspread/EventScanner.h
+++ b/packages/forwarding/include/siskinspread/EventScanner.h
@@ -21,6 +21,7 @@
     void dropPart() { m_part.clear(); }
 
     bool hasPart() const { return !m_part.empty(); }
+    size_t partBytes() const { return m_part.size(); }
 
     /** @return the id of the last whole event that had one. */
     std::optional<uint64_t> lastId() const { return m_lastId; }
--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -99,6 +99,10 @@
     void beginStream(AnswerHead&&);
     void deliverWhole();
     void passOn(std::string_view bytes);
+    /** The body is larger than what is delivered whole. */
+    void onLargeBody();
+    /** Gives up on what the replica sends. */
+    void breakOffReplica();
     void noteFirstByte();
     void releaseAttempt(bool keep);
     void finish(ResultCode, int status, std::string_view why);
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -104,6 +104,10 @@
     void noteUnread(const std::string& service, uint32_t tokens);
     const ReplicaHealthOptions& healthOptions() const { return m_healthOptions; }
     bool isServing(const Replica&) const;
+    /** Takes in what an answer says of the replica itself, whatever it answers. */
+    void noteAnswer(const std::shared_ptr<Replica>&, const ReplicaAnswer&);
+    /** An incarnation leaves, as it or a peer has said; it is sent nothing new. @param source for the log. */
+    void noteLeaving(uint64_t identity, std::string_view source);
     /** Asks a replica whether and when it leaves, unless it was asked lately. */
     void askState(const std::shared_ptr<Replica>&, MonotonicTime now);
     /** @return a replica with a place for a run that another one cannot finish. */
@@ -123,6 +127,10 @@
     std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now) const;
     void refuse(const ReceivedRequest&, std::string_view attemptId, ResultCode, int status, std::chrono::milliseconds retryAfter, std::string_view why);
     std::chrono::milliseconds comeBackAfter(const Exchange&) const;
+    static std::chrono::milliseconds spreadOf(const Exchange&);
+    static std::chrono::milliseconds patienceOf(const Exchange&);
+    /** Refuses a request for which waiting can bring nothing in time. @return whether it did. */
+    bool refuseHopeless(const std::shared_ptr<Exchange>&, MonotonicTime now);
 
     asio::io_context& m_context;
     const ForwardingSettings& m_settings;
--- a/packages/forwarding/include/siskinspread/HttpStreamParser.h
+++ b/packages/forwarding/include/siskinspread/HttpStreamParser.h
@@ -41,7 +41,11 @@
         Answers,
     };
 
-    /** @param maxHeadBytes a larger head fails; @param handlers may not call the parser. */
+    /**
+     * @param maxHeadBytes a larger head fails, and so does a message of which twice as many bytes in a row are neither head nor body:
+     *     blank lines, sizes and extensions of chunks, trailers.
+     * @param handlers may not call the parser.
+     */
     HttpStreamParser(Kind, size_t maxHeadBytes, ParserHandlers handlers);
     ~HttpStreamParser();
     HttpStreamParser(const HttpStreamParser&) = delete;
--- a/packages/forwarding/include/siskinspread/PlatformAdapter.h
+++ b/packages/forwarding/include/siskinspread/PlatformAdapter.h
@@ -61,6 +61,8 @@
     bool notExecuted { false }; /**< The replica states that it did not run the request. */
     bool otherInstance { false }; /**< Another incarnation has the address. */
     std::optional<std::chrono::milliseconds> idleTimeout; /**< After which the replica closes the connection. */
+    bool leaving { false }; /**< The replica that answered will end. */
+    std::optional<std::chrono::milliseconds> pause; /**< For which the replica wants nothing from this host; above zero, an hour at most. */
 };
 
 /** A replica as it registered itself. */
@@ -81,6 +83,7 @@
 struct ReplicaState {
     bool leaving { false };
     std::optional<std::chrono::milliseconds> leavesIn; /**< Until it ends, where it knows. */
+    std::optional<int64_t> startedAtMs; /**< As ReplicaEntry::startedAtMs, where it tells. */
 };
 
 /** Collections of documents in the platform's store. */
--- a/packages/forwarding/include/siskinspread/ReplicaCall.h
+++ b/packages/forwarding/include/siskinspread/ReplicaCall.h
@@ -14,7 +14,7 @@
 
 /** A whole answer of a replica to a call of this host's own. */
 struct ReplicaCallAnswer {
-    int status { 0 };
+    AnswerHead head;
     std::string body;
 };
 
--- a/packages/forwarding/include/siskinspread/ReplicaConnection.h
+++ b/packages/forwarding/include/siskinspread/ReplicaConnection.h
@@ -67,6 +67,8 @@
     void writeRequest();
     void read();
     void parse(std::string_view bytes);
+    /** @return whether so much has arrived without the answer going on that no more is read. */
+    bool hasTooManyStrayBytes(size_t consumed);
     void onAnswerEnd();
     bool onHead(AnswerHead&& head);
     void onClosed(const asio::error_code& error);
@@ -89,6 +91,8 @@
     bool m_expectsBody { true };
     bool m_reusable { true };
     bool m_skipping { false }; /**< The answer that arrives belongs to an earlier request. */
+    bool m_progressed { false }; /**< The bytes that are being parsed hold something of the answer that is waited for. */
+    size_t m_strayBytes { 0 }; /**< Received since the request was sent or the answer last went on, of no use to it. */
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/include/siskinspread/ReplicaDirectory.h
+++ b/packages/forwarding/include/siskinspread/ReplicaDirectory.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace siskinspread {
@@ -27,10 +28,15 @@
     std::optional<MonotonicTime> leavesAt; /**< When a leaving one ends at the earliest, as far as it is known. */
     std::optional<MonotonicTime> suspectedAt; /**< Others that are reclaimed together with it have said that they leave. */
     std::optional<MonotonicTime> stateAskedAt;
+    bool leavingByAnswer { false }; /**< An answer said that it leaves, so the store may not know of it. */
     std::optional<MonotonicTime> missingSince; /**< No longer in the store, which had been away. */
+    std::optional<MonotonicTime> pausedUntil; /**< It has asked this host to send nothing until then. */
     bool gone { false };
 };
 
+/** @return whether the replica has asked this host to send nothing for now. Thread safety: loop thread. */
+bool isPaused(const Replica&, MonotonicTime now);
+
 /** @return the hash that names an incarnation on all hosts. Thread safety: reentrant. */
 uint64_t replicaIdentity(const ReplicaEntry&);
 
@@ -47,6 +53,12 @@
 
     Change apply(const ReplicaEntry&);
 
+    /**
+     * Remembers that an incarnation leaves, also beyond the end of its entry: an entry that comes back does not bring it back
+     * into use. @return the replica where that is new and it is known.
+     */
+    std::shared_ptr<Replica> markLeaving(uint64_t identity);
+
     /** Removes a replica at once. @return whether it was known. */
     bool remove(const std::string& instance);
 
@@ -71,6 +83,8 @@
     std::unordered_map<std::string, std::shared_ptr<Replica>> m_replicas;
     std::unordered_map<uint64_t, std::shared_ptr<Replica>> m_byIdentity;
     std::unordered_map<std::string, std::vector<std::shared_ptr<Replica>>> m_services;
+    std::unordered_set<uint64_t> m_left; /**< Identities of incarnations that have said that they leave. */
+    std::deque<uint64_t> m_leftInOrder; /**< The same, oldest first. */
 };
 
 /** Tokens of the leading parts that this host saw the replica compute lately. Thread safety: loop thread. */
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "siskinspread/Forwarder.h"
 
+#include <utility>
+
 namespace siskinspread {
 
 namespace {
@@ -15,6 +17,8 @@
     // Answers up to this size are delivered only once they are whole, so that a broken one can still become an error.
     constexpr size_t maxWholeBytes = 256U << 10U;
     constexpr size_t maxUnwrittenBytes = 256U << 10U;
+    constexpr size_t maxEventBytes = 256U << 10U; // an event holds a few tokens
+    constexpr int firstFailureStatus = 300;
     constexpr uint32_t maxNotArrived = 4; // replicas that are tried for one request when none takes the connection
     constexpr uint32_t maxUrgency = 9;
 
@@ -112,14 +116,13 @@
             return false;
         }
     }
+    m_forwarder.noteAnswer(m_attempt.replica, answer);
     m_attempt.replica->idleTimeout = answer.idleTimeout ? answer.idleTimeout : m_attempt.replica->idleTimeout;
     m_attempt.notExecuted = answer.notExecuted;
     m_attempt.otherInstance = answer.otherInstance;
     const bool foreign = answer.attemptId.empty() && !answer.notExecuted;
     if (foreign || (!answer.sealed && head.status < 300)) {
-        auto connection = m_attempt.connection;
-        connection->close();
-        onAnswerBroken(ReplicaFailure::Unreadable);
+        breakOffReplica();
         return true;
     }
     if (!answer.notExecuted) {
@@ -187,16 +190,44 @@
     }
     if (m_phase != Phase::Answering) {
         m_body.append(bytes);
+        if (m_body.size() > maxWholeBytes) {
+            onLargeBody();
+        }
         return;
     }
     noteDomainBytes(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
     if (m_request.route->resumable || isMovable()) {
         passOn(m_events.feed(bytes));
+        if (m_events.partBytes() > maxEventBytes) {
+            breakOffReplica();
+        }
     } else {
         passOn(bytes);
     }
 }
 
+void Exchange::onLargeBody()
+{
+    if (m_attempt.notExecuted) {
+        auto connection = m_attempt.connection;
+        connection->close();
+        onNotExecuted();
+    } else if (m_answer.status >= firstFailureStatus) {
+        breakOffReplica();
+    } else {
+        m_streaming = true;
+        beginStream(std::move(m_answer));
+        passOn(std::exchange(m_body, {}));
+    }
+}
+
+void Exchange::breakOffReplica()
+{
+    auto connection = m_attempt.connection;
+    connection->close();
+    onAnswerBroken(ReplicaFailure::Unreadable);
+}
+
 void Exchange::passOn(std::string_view bytes)
 {
     auto& caller = *m_request.received.connection;
--- a/packages/forwarding/src/ExchangeMove.cpp
+++ b/packages/forwarding/src/ExchangeMove.cpp
@@ -50,7 +50,7 @@
     }
     const bool isRunning = m_phase == Phase::Answering || m_phase == Phase::Sent;
     const bool tried = m_moveTriedAt && now - *m_moveTriedAt < tryAgainAfter;
-    if (!isRunning || m_move || tried || m_request.route->resumable || !isMovable() || !mustMove(now)) {
+    if (!isRunning || m_move || tried || isPaused(*m_attempt.replica, now) || m_request.route->resumable || !isMovable() || !mustMove(now)) {
         return;
     }
     auto target = m_forwarder.moveTarget(*this);
@@ -75,7 +75,10 @@
     auto call = std::make_shared<ReplicaCall>(m_forwarder.context(), NetworkAddress { source.address, source.port }, [weak = weak_from_this(), move](std::optional<ReplicaCallAnswer> answer, const LastReason& broken) {
         if (auto self = weak.lock()) {
             LastReason reason = broken;
-            self->onMoved(answer ? self->m_forwarder.adapter().decodeMemoryMove(move, answer->status, answer->body, reason) : std::nullopt, reason);
+            if (answer && self->m_attempt.replica) {
+                self->m_forwarder.noteAnswer(self->m_attempt.replica, self->m_forwarder.adapter().decodeAnswer(answer->head));
+            }
+            self->onMoved(answer ? self->m_forwarder.adapter().decodeMemoryMove(move, answer->head.status, answer->body, reason) : std::nullopt, reason);
         }
     });
     m_move = Move { .call = call, .target = std::move(target) };
@@ -115,8 +118,8 @@
 /** Goes on once the source has closed the stream, so that no event is lost or comes twice. */
 void Exchange::continueMoved()
 {
-    if (!m_move->sourceEnded || m_move->call) {
-        return;
+    if (!m_move->sourceEnded || m_move->call || isPaused(*m_move->target, std::chrono::steady_clock::now())) {
+        return; // looked at again by reviewMove
     }
     const auto move = std::move(*m_move);
     m_move.reset();
--- a/packages/forwarding/src/HttpStreamParser.cpp
+++ b/packages/forwarding/src/HttpStreamParser.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+    // Names and values are counted by maxHeadBytes; the marks between them at most double a head of one-letter headers.
+    constexpr size_t framingFactor = 2;
+
     /** The library takes names with spaces, which the next reader may take for another header (RFC 9112, section 5.1). */
     bool isHeaderName(std::string_view name)
     {
@@ -28,6 +31,8 @@
     http_parser_settings callbacks {};
     size_t maxHeadBytes { 0 };
     size_t headBytes { 0 };
+    size_t framingBytes { 0 }; /**< Read since the last byte of a body, or since the head or the message began. */
+    bool progressed { false }; /**< A head or part of a body was delivered by the bytes that are being parsed. */
     ParserHandlers handlers;
     std::string target;
     std::string phrase;
@@ -59,6 +64,7 @@
     complete = false;
     headDone = false;
     headBytes = 0;
+    framingBytes = 0;
 }
 
 int HttpStreamParser::State::append(std::string& part, const char* bytes, size_t length)
@@ -126,6 +132,7 @@
 int HttpStreamParser::State::onHead()
 {
     headDone = true;
+    progressed = true;
     if (!std::all_of(headers.begin(), headers.end(), [](const HttpHeader& header) { return isHeaderName(header.name) && isHeaderValue(header.value); })) {
         return -1;
     }
@@ -161,7 +168,9 @@
     callbacks.on_header_value = [](http_parser* source, const char* bytes, size_t length) { return static_cast<State*>(source->data)->onHeaderValue(bytes, length); };
     callbacks.on_headers_complete = [](http_parser* source) { return static_cast<State*>(source->data)->onHead(); };
     callbacks.on_body = [](http_parser* source, const char* bytes, size_t length) {
-        static_cast<State*>(source->data)->handlers.onBody(std::string_view { bytes, length });
+        auto& state = *static_cast<State*>(source->data);
+        state.progressed = true;
+        state.handlers.onBody(std::string_view { bytes, length });
         return 0;
     };
     callbacks.on_message_complete = [](http_parser* source) {
@@ -190,6 +199,7 @@
 {
     auto& state = *m_state;
     ParseProgress progress;
+    state.progressed = false;
     progress.consumed = http_parser_execute(&state.parser, &state.callbacks, bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&state.parser);
     progress.messageComplete = state.complete;
@@ -198,6 +208,11 @@
     if (error == HPE_PAUSED) {
         http_parser_pause(&state.parser, 0);
     }
+    state.framingBytes = state.progressed ? 0 : state.framingBytes + progress.consumed;
+    if (state.framingBytes > state.maxHeadBytes * framingFactor) {
+        progress.failed = true;
+        progress.headTooLarge = progress.headTooLarge || !state.headDone;
+    }
     return progress;
 }
 
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -116,6 +116,9 @@
     if (peer.stopping) {
         forgetStopped(peer.failureDomain, now);
     }
+    for (const auto identity : state.leaving_replicas()) {
+        m_forwarder.noteLeaving(identity, state.host());
+    }
     applyLoads(state);
     applySpending(peer, state, now);
     applyProof(state);
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -8,6 +8,7 @@
     using std::chrono::milliseconds;
 
     constexpr size_t maxWindowsTold = 4;
+    constexpr int maxLeavingTold = 64; // 512 bytes; of more, the others are told once their entries are gone
     // Several messages to each peer tell of a change, so that it is known when some of them are lost.
     constexpr milliseconds spendingToldFor { 3000 };
     constexpr milliseconds wholeSpendingInterval { 5000 }; // heals what was lost all the same
@@ -32,6 +33,9 @@
     state.set_stopping(m_stopping);
     state.set_wants_usage(m_gathersUsage);
     for (const auto& [instance, replica] : m_forwarder.replicas().all()) {
+        if (replica->leavingByAnswer && state.leaving_replicas_size() < maxLeavingTold) {
+            state.add_leaving_replicas(replica->identity);
+        }
         if (replica->ownLoad.requests > 0) {
             auto& load = *state.add_loads();
             load.set_replica(replica->identity);
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -1,6 +1,8 @@
 // The part of Forwarder that places requests and lets them wait.
 #include "siskinspread/Forwarder.h"
 
+#include "siskinspread/WaitOutlook.h"
+
 #include <algorithm>
 
 namespace siskinspread {
@@ -26,7 +28,7 @@
     std::vector<std::shared_ptr<Replica>> heldOut;
     std::vector<std::shared_ptr<Replica>> doubted;
     for (const auto& replica : m_replicas.ofService(exchange.request().service->name)) {
-        if (!isServing(*replica) || exchange.wasSentTo(replica->identity)) {
+        if (!isServing(*replica) || exchange.wasSentTo(replica->identity) || isPaused(*replica, now)) {
             continue;
         }
         if (m_doubted.contains(replica->entry.failureDomain)) {
@@ -125,13 +127,40 @@
         exchange->refuse(ResultCode::PoolFull, comeBackAfter(*exchange), "too many requests wait");
         return;
     }
+    if (refuseHopeless(exchange, std::chrono::steady_clock::now())) {
+        return;
+    }
     auto place = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto& other) { return other->urgency() > exchange->urgency(); });
     m_waiting.insert(place, exchange);
-    if (m_replicas.ofService(exchange->request().service->name).empty()) {
-        // Nothing that waiting could free: the caller is told at once.
-        m_waiting.remove(exchange);
-        exchange->refuse(ResultCode::NoBackendServer, comeBackAfter(*exchange), "the service has no replica");
+}
+
+bool Forwarder::refuseHopeless(const std::shared_ptr<Exchange>& exchange, MonotonicTime now)
+{
+    const auto& request = exchange->request();
+    WaitOutlook outlook { .patienceLeft = std::chrono::duration_cast<std::chrono::microseconds>(request.received.startedAt + patienceOf(*exchange) - now) };
+    for (const auto& replica : m_replicas.ofService(request.service->name)) {
+        if (!isServing(*replica) || exchange->wasSentTo(replica->identity)) {
+            continue;
+        }
+        outlook.replicas += 1;
+        if (!isPaused(*replica, now)) {
+            outlook.accepting += 1;
+        } else if (const auto pause = std::chrono::duration_cast<std::chrono::microseconds>(*replica->pausedUntil - now); !outlook.pauseEndsIn || pause < *outlook.pauseEndsIn) {
+            outlook.pauseEndsIn = pause;
+        }
     }
+    switch (judgeWait(outlook)) {
+    case WaitVerdict::Wait:
+        return false;
+    case WaitVerdict::NoReplica:
+        exchange->refuse(ResultCode::NoBackendServer, comeBackAfter(*exchange), "the service has no replica that could be sent the request");
+        return true;
+    case WaitVerdict::AllPaused:
+        break;
+    }
+    const auto back = std::chrono::duration_cast<milliseconds>(*outlook.pauseEndsIn) + spreadOf(*exchange);
+    exchange->refuse(ResultCode::PoolFull, back, "all replicas of the service ask for a pause");
+    return true;
 }
 
 void Forwarder::redispatch(const std::shared_ptr<Exchange>& exchange)
@@ -158,13 +187,23 @@
     });
 }
 
+/** Those who are refused together do not come back together. @return up to 0.8 s. */
+milliseconds Forwarder::spreadOf(const Exchange& exchange)
+{
+    return milliseconds { static_cast<int64_t>(exchange.request().sequence * 7919 % 800) };
+}
+
+/** @return how long a request may wait for a place from its arrival: what is left of its target is for the answer. */
+milliseconds Forwarder::patienceOf(const Exchange& exchange)
+{
+    return std::chrono::duration_cast<milliseconds>(exchange.request().targetAt - exchange.request().received.startedAt) / 2;
+}
+
 milliseconds Forwarder::comeBackAfter(const Exchange& exchange) const
 {
     const auto now = std::chrono::steady_clock::now();
     const auto left = std::chrono::duration_cast<milliseconds>(exchange.request().endsAt - now);
-    // Spread over a second, so that those who are refused together do not come back together.
-    const milliseconds spread { 200 + static_cast<int64_t>(exchange.request().sequence * 7919 % 800) };
-    return std::clamp(spread, milliseconds { 50 }, std::max(milliseconds { 50 }, left / 3));
+    return std::clamp(milliseconds { 200 } + spreadOf(exchange), milliseconds { 50 }, std::max(milliseconds { 50 }, left / 3));
 }
 
 void Forwarder::dispatchWaiting()
@@ -184,9 +223,9 @@
             m_waiting.remove(exchange);
             continue;
         }
-        const auto& request = exchange->request();
-        const auto patience = std::chrono::duration_cast<milliseconds>(request.targetAt - request.received.startedAt) / 2;
-        if (now - request.received.startedAt > patience) {
+        if (refuseHopeless(exchange, now)) {
+            m_waiting.remove(exchange);
+        } else if (now - exchange->request().received.startedAt > patienceOf(*exchange)) {
             m_waiting.remove(exchange);
             exchange->refuse(ResultCode::PoolFull, comeBackAfter(*exchange), "no replica had a free place in time");
         }
--- a/packages/forwarding/src/ReplicaCall.cpp
+++ b/packages/forwarding/src/ReplicaCall.cpp
@@ -35,7 +35,7 @@
 
 bool ReplicaCall::onAnswerHead(AnswerHead&& head)
 {
-    m_answer.status = head.status;
+    m_answer.head = std::move(head);
     return true;
 }
 
--- a/packages/forwarding/src/ReplicaConnection.cpp
+++ b/packages/forwarding/src/ReplicaConnection.cpp
@@ -11,6 +11,8 @@
 
     constexpr size_t maxAnswerHeadBytes = 32U << 10U;
     constexpr int firstFinalStatus = 200;
+    // Interim answers and answers to earlier requests in front of the one that is waited for; room for the largest that is kept whole.
+    constexpr size_t maxStrayBytes = 256U << 10U;
     // Unacknowledged bytes for this long mean a path that carries nothing any more.
     constexpr std::chrono::milliseconds unacknowledgedTime { 4000 };
 
@@ -41,6 +43,7 @@
           ParserHandlers { .onAnswerHead = [this](AnswerHead&& head) { return onHead(std::move(head)); },
               .onBody = [this](std::string_view bytes) {
                   if (m_busy && !m_skipping) {
+                      m_progressed = true;
                       auto observer = m_observer;
                       observer->onAnswerBody(bytes);
                   } } })
@@ -55,6 +58,7 @@
     m_out = std::move(bytes);
     m_written = 0;
     m_paused = false;
+    m_strayBytes = 0;
     if (m_connected && isClosedByReplica()) {
         // Not from here: the caller of send is still at work on the request.
         asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->breakOff(ReplicaFailure::ConnectFailed); });
@@ -163,11 +167,12 @@
             close(); // bytes that nobody asked for
             return;
         }
+        m_progressed = false;
         const auto progress = m_parser.feed(bytes);
         if (!m_open) {
             return;
         }
-        if (progress.failed) {
+        if (progress.failed || hasTooManyStrayBytes(progress.consumed)) {
             breakOff(ReplicaFailure::Unreadable);
             return;
         }
@@ -181,6 +186,12 @@
     }
 }
 
+bool ReplicaConnection::hasTooManyStrayBytes(size_t consumed)
+{
+    m_strayBytes = m_progressed ? 0 : m_strayBytes + consumed;
+    return m_strayBytes > maxStrayBytes;
+}
+
 bool ReplicaConnection::onHead(AnswerHead&& head)
 {
     if (!m_busy) {
@@ -191,6 +202,7 @@
         m_reusable = m_reusable && head.keepAlive;
         auto observer = m_observer;
         m_skipping = !observer->onAnswerHead(std::move(head));
+        m_progressed = !m_skipping;
     }
     return m_skipping || m_expectsBody;
 }
--- a/packages/forwarding/src/ReplicaDirectory.cpp
+++ b/packages/forwarding/src/ReplicaDirectory.cpp
@@ -14,6 +14,7 @@
     // Parts that were computed longer ago have probably yielded to others.
     constexpr std::chrono::seconds residentTime { 30 };
     constexpr size_t maxResidentParts = 512;
+    constexpr size_t maxLeft = 4096; // identities, 8 bytes each twice: the 670 replicas of the target replaced six times
 
     std::chrono::milliseconds idleTime(const Replica& replica)
     {
@@ -27,19 +28,44 @@
     return XXH64(entry.instance.data(), entry.instance.size(), static_cast<uint64_t>(entry.startedAtMs));
 }
 
+bool isPaused(const Replica& replica, MonotonicTime now)
+{
+    return replica.pausedUntil && now < *replica.pausedUntil;
+}
+
+std::shared_ptr<Replica> ReplicaDirectory::markLeaving(uint64_t identity)
+{
+    if (m_left.insert(identity).second) {
+        m_leftInOrder.push_back(identity);
+        if (m_leftInOrder.size() > maxLeft) {
+            m_left.erase(m_leftInOrder.front());
+            m_leftInOrder.pop_front();
+        }
+    }
+    auto replica = findIdentity(identity);
+    if (!replica || replica->entry.leaving) {
+        return nullptr;
+    }
+    replica->entry.leaving = true;
+    for (auto& connection : replica->idle) {
+        connection->close();
+    }
+    replica->idle.clear();
+    return replica;
+}
+
 ReplicaDirectory::Change ReplicaDirectory::apply(const ReplicaEntry& entry)
 {
     Change change = Change::Added;
     if (auto known = find(entry.instance)) {
         const auto& old = known->entry;
         if (old.startedAtMs == entry.startedAtMs && old.address == entry.address && old.port == entry.port && old.service == entry.service) {
-            change = entry.leaving && !old.leaving ? Change::Leaving : Change::Updated;
             // A replica that has said that it leaves does not come back in the same incarnation.
-            const bool leaving = old.leaving || entry.leaving;
+            const bool wasLeaving = old.leaving;
             known->entry = entry;
-            known->entry.leaving = leaving;
+            known->entry.leaving = wasLeaving;
             known->missingSince.reset();
-            return change;
+            return entry.leaving && markLeaving(known->identity) ? Change::Leaving : Change::Updated;
         }
         remove(entry.instance);
         change = Change::Restarted;
@@ -47,6 +73,10 @@
     auto replica = std::make_shared<Replica>();
     replica->entry = entry;
     replica->identity = replicaIdentity(entry);
+    if (entry.leaving || m_left.contains(replica->identity)) {
+        replica->entry.leaving = true;
+        markLeaving(replica->identity);
+    }
     m_replicas[entry.instance] = replica;
     m_byIdentity[replica->identity] = replica;
     m_services[entry.service].push_back(replica);
@@ -178,7 +208,7 @@
 
 void keepConnection(Replica& replica, std::shared_ptr<ReplicaConnection> connection)
 {
-    if (replica.gone || !connection->isReusable() || replica.idle.size() >= maxIdleConnections) {
+    if (replica.gone || replica.entry.leaving || !connection->isReusable() || replica.idle.size() >= maxIdleConnections) {
         connection->close();
         return;
     }
--- a/packages/forwarding/src/ReplicaStates.cpp
+++ b/packages/forwarding/src/ReplicaStates.cpp
@@ -36,13 +36,40 @@
     }
 }
 
+void Forwarder::noteLeaving(uint64_t identity, std::string_view source)
+{
+    const auto replica = m_replicas.markLeaving(identity);
+    if (!replica) {
+        return;
+    }
+    replica->leavingByAnswer = true;
+    m_log.info("replica leaves", { { "replica", replica->entry.instance }, { "told_by", source }, { "requests", replica->ownLoad.requests } });
+    if (replica->entry.reclaimable) {
+        suspectReclaim(replica->entry.service, replica->entry.failureDomain);
+    }
+    placeFreed(); // what waits for this replica has to go elsewhere, or be refused
+}
+
+void Forwarder::noteAnswer(const std::shared_ptr<Replica>& replica, const ReplicaAnswer& answer)
+{
+    if (answer.leaving) {
+        noteLeaving(replica->identity, "an answer");
+    }
+    if (answer.pause) {
+        const auto until = std::chrono::steady_clock::now() + *answer.pause;
+        replica->pausedUntil = std::max(replica->pausedUntil.value_or(until), until);
+        m_log.info("replica pauses", { { "replica", replica->entry.instance }, { "for_ms", *answer.pause }, { "requests", replica->ownLoad.requests } });
+        placeFreed();
+    }
+}
+
 void Forwarder::noteState(Replica& replica, const ReplicaState& state, MonotonicTime askedAt)
 {
     m_log.info("replica asked", { { "replica", replica.entry.instance }, { "leaving", state.leaving }, { "leaves_in_ms", state.leavesIn.value_or(milliseconds { -1 }) } });
     if (!state.leaving) {
         return;
     }
-    replica.entry.leaving = true;
+    noteLeaving(replica.identity, "its report");
     const auto usual = replica.entry.reclaimable ? shortestNotice : m_settings.bounds.drainInForce;
     replica.leavesAt = askedAt + (state.leavesIn ? std::max(milliseconds { 0 }, *state.leavesIn - reportAge) : usual);
 }
@@ -51,7 +78,7 @@
 {
     const bool lately = replica->stateAskedAt && now - *replica->stateAskedAt < askAgainAfter;
     const bool mayLeave = replica->gone || replica->entry.leaving || isReclaimSuspected(*replica, now);
-    if (lately || !mayLeave) {
+    if (lately || !mayLeave || isPaused(*replica, now)) {
         return;
     }
     replica->stateAskedAt = now;
@@ -62,8 +89,14 @@
     auto call = std::make_shared<ReplicaCall>(m_context, NetworkAddress { entry.address, entry.port }, [this, replica, now, number](std::optional<ReplicaCallAnswer> answer, const LastReason& broken) {
         m_stateCalls.erase(number);
         LastReason reason = broken;
-        const auto state = answer ? m_adapter.decodeState(answer->status, answer->body, reason) : std::nullopt;
-        if (state) {
+        const auto state = answer ? m_adapter.decodeState(answer->head.status, answer->body, reason) : std::nullopt;
+        const bool otherIncarnation = state && state->startedAtMs && *state->startedAtMs != replica->entry.startedAtMs;
+        if (answer && !otherIncarnation) {
+            noteAnswer(replica, m_adapter.decodeAnswer(answer->head));
+        }
+        if (otherIncarnation) {
+            m_log.warning("report of another incarnation passed over", { { "replica", replica->entry.instance }, { "expected_start_ms", replica->entry.startedAtMs }, { "start_ms", *state->startedAtMs } });
+        } else if (state) {
             noteState(*replica, *state, now);
         } else {
             m_log.warning("replica did not tell its state", { { "replica", replica->entry.instance }, { "why", reason.detail } });
--- a/packages/forwarding/tests/ReplicaDirectoryTest.cpp
+++ b/packages/forwarding/tests/ReplicaDirectoryTest.cpp
@@ -41,6 +41,43 @@
     CHECK(directory.findIdentity(old->identity) == nullptr);
 }
 
+TEST_CASE("a replica that is known to leave before its entry is read is never in use")
+{
+    ReplicaDirectory directory;
+    CHECK(directory.markLeaving(replicaIdentity(entry("a", 1))) == nullptr);
+    directory.apply(entry("a", 1));
+    CHECK(directory.find("a")->entry.leaving);
+    directory.apply(entry("a", 2));
+    CHECK_FALSE(directory.find("a")->entry.leaving);
+}
+
+TEST_CASE("a replica that left is still known to have left after its entry has gone, whoever told it")
+{
+    ReplicaDirectory directory;
+    auto leaving = entry("by-entry");
+    leaving.leaving = true;
+    directory.apply(leaving);
+    directory.apply(entry("by-answer"));
+    CHECK(directory.markLeaving(directory.find("by-answer")->identity) != nullptr);
+    CHECK(directory.markLeaving(directory.find("by-answer")->identity) == nullptr);
+    for (const char* instance : { "by-entry", "by-answer" }) {
+        directory.remove(instance);
+        directory.apply(entry(instance));
+        CHECK(directory.find(instance)->entry.leaving);
+    }
+}
+
+TEST_CASE("only so many incarnations that left are remembered, the oldest are forgotten first")
+{
+    ReplicaDirectory directory;
+    for (uint64_t identity = 1; identity <= 5000; ++identity) {
+        directory.markLeaving(identity << 32U);
+    }
+    directory.markLeaving(replicaIdentity(entry("a")));
+    directory.apply(entry("a"));
+    CHECK(directory.find("a")->entry.leaving);
+}
+
 TEST_CASE("an entry that comes back in time is kept, one that does not is removed, a leaving one at once")
 {
     ReplicaDirectory directory;
