Spread what hosts tell each other over a turn, and tell followers of the store more often and in fewer bytes

Each host therefore doubted each other domain 3 times in 10 s (449 log lines) and placed requests in its own domain alone; and both of the hosts that watch the store told a follower at the same instant, 0.7 s apart: 184 times a follower asked the store itself, 81 since a change of more than 24 entries (a reclaim has 60) did not fit the log, 59 since the news were older than 2.6 s, 44 for silence.

Ruled out: lost datagrams as the main cause (the hosts were heard again within a turn each time); the watchers' own calls (12 hosts, 2 a second each, are 1,700 of 15,500).

Change: the place in a turn follows from both names. The silence after which a domain is doubted follows from its hosts and their turn (domainSilentAfter), not from a constant for seven hosts. A customer's level is kept up to date from the configuration on, not from its first request at a host, which found it at three tenths whatever had been spent.

Tests: ExchangePaceTest plays the turns of 7, 77, 295 and 380 hosts; StoreNewsTest.

--- a/packages/decisions/include/siskinspread/ChangeLog.h
+++ b/packages/decisions/include/siskinspread/ChangeLog.h
@@ -30,8 +30,9 @@
 
 /** How long and how much a log keeps. */
 struct ChangeLogOptions {
-    std::chrono::milliseconds keptFor { 1500 }; /**< Several messages to each follower, so that all but one may be lost. */
-    size_t maxChanges { 24 }; /**< In one message: 7 KB where a document has 300 bytes. A follower that lacks more asks the store. */
+    std::chrono::milliseconds keptFor { 2500 }; /**< Several messages to each follower, so that all but one may be lost. */
+    /** A reclaim of two domains of the target and its replacements. A follower that lacks more asks the store. */
+    size_t maxChanges { 256 };
 };
 
 /** Adds what was read; a gap before it makes the log begin anew. Thread safety: as ChangeLog. */
--- a/packages/decisions/include/siskinspread/DomainReach.h
+++ b/packages/decisions/include/siskinspread/DomainReach.h
@@ -14,11 +14,11 @@
     std::optional<MonotonicTime> bytesAt; /**< Newest bytes of any of its replicas. */
     std::optional<MonotonicTime> timeoutAt; /**< Newest connection to a replica that was not answered at all. */
     uint32_t timeouts { 0 }; /**< Of such since the newest bytes. */
+    /** Silence of all hosts of the domain after which its paths are doubted; see domainSilentAfter. */
+    std::chrono::milliseconds peerSilence { 700 };
 };
 
 struct DomainReachOptions {
-    /** Silence of all hosts of a domain after which its paths are doubted: several turns of the exchange between hosts. */
-    std::chrono::milliseconds peerSilence { 700 };
     std::chrono::milliseconds byteSilence { 300 }; /**< Replicas that were heard more recently are reached. */
     uint32_t worstTimeouts { 2 }; /**< Unanswered connections after which the paths are doubted. */
     std::chrono::milliseconds retryAfter { 1000 }; /**< Since the last unanswered connection, before the paths are tried again. */
--- a/packages/decisions/src/DomainReach.cpp
+++ b/packages/decisions/src/DomainReach.cpp
@@ -24,7 +24,7 @@
     if (reach.bytesAt && now - *reach.bytesAt < options.byteSilence) {
         return false;
     }
-    const bool peersSilent = reach.peerHeardAt && now - *reach.peerHeardAt >= options.peerSilence;
+    const bool peersSilent = reach.peerHeardAt && now - *reach.peerHeardAt >= reach.peerSilence;
     const bool unanswered = reach.timeouts >= options.worstTimeouts && now - *reach.timeoutAt < options.retryAfter;
     return peersSilent || unanswered;
 }
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -118,6 +118,8 @@
     std::optional<AdmittedRequest> admit(ReceivedRequest&&);
     const Customer* identify(AdmittedRequest&, bool& refused);
     std::optional<std::chrono::milliseconds> overQuota(AdmittedRequest&);
+    QuotaLimit limitOf(const Customer&) const;
+    void refreshQuotas(MonotonicTime now);
     /** @return whether the request was sent or answered; otherwise it waits. */
     bool dispatch(const std::shared_ptr<Exchange>&);
     static EngineRequest engineRequest(const Exchange&, const Placement&, const std::vector<PlacementCandidate>&, MonotonicTime now);
@@ -158,6 +160,7 @@
     std::map<uint64_t, std::shared_ptr<ReplicaCall>> m_stateCalls; /**< Questions that are not answered yet. */
     uint64_t m_lastStateCall { 0 };
     uint64_t m_sequence { 0 };
+    MonotonicTime m_quotasRefreshedAt {};
     size_t m_hosts { 1 };
     bool m_dispatchPosted { false };
     bool m_refusesStreams { false };
--- a/packages/forwarding/include/siskinspread/PeerExchange.h
+++ b/packages/forwarding/include/siskinspread/PeerExchange.h
@@ -6,6 +6,7 @@
 #include "siskinspread/ForwardingSettings.h"
 #include "siskinspread/HostLog.h"
 #include "siskinspread/PeerLoads.h"
+#include "siskinspread/StoreNews.h"
 
 #include "forwarding.pb.h"
 
@@ -29,6 +30,8 @@
     uint64_t sequence { 0 };
     std::optional<MonotonicTime> heardAt;
     std::optional<MonotonicTime> nextAt; /**< When the next message to it is due. */
+    std::optional<MonotonicTime> nextNewsAt; /**< When the next one is due that holds only news of the store. */
+    KnownRevisions known; /**< Of the store, as it has told. */
     std::optional<MonotonicTime> joinedAt; /**< First message of its incarnation. */
     std::optional<MonotonicTime> wholeSentAt; /**< Last message that held the spending of all customers. */
     std::optional<MonotonicTime> usageAt; /**< Last message that held its usage. */
@@ -63,7 +66,9 @@
 
     /** What goes to and comes from hosts of the same failure domain in addition. */
     struct DomainNews {
-        std::function<void(schema::HostStateMessage&)> tell;
+        std::function<bool()> isFollowed; /**< Hosts of the domain wait for the news of this one. */
+        std::function<void(schema::HostStateMessage&, const KnownRevisions& known)> tell;
+        std::function<void(schema::HostStateMessage&)> tellKnown;
         std::function<void(const schema::HostStateMessage&)> apply;
     };
     void setDomainNews(DomainNews news) { m_domainNews = std::move(news); }
@@ -99,6 +104,10 @@
     void noteOwnSpending(MonotonicTime now);
     /** @return the state as this peer needs it. */
     schema::HostStateMessage stateFor(PeerHost&, const schema::HostStateMessage& state, MonotonicTime now);
+    /** Tells a follower of the same failure domain what is new in the store, more often than the whole state. */
+    void tellNews(const std::string& host, PeerHost&, MonotonicTime now);
+    void tellProof(PeerHost&, schema::HostStateMessage&) const;
+    void reviewDomains();
     void sendTo(PeerHost&, const schema::HostStateMessage&);
     std::chrono::milliseconds turnFor(const PeerHost&, MonotonicTime now) const;
     void review(MonotonicTime now);
--- a/packages/forwarding/include/siskinspread/StoreFeed.h
+++ b/packages/forwarding/include/siskinspread/StoreFeed.h
@@ -70,8 +70,12 @@
     /** Takes in what another host has read. */
     void applyNews(FeedNews&&);
 
-    /** @return what this feed has read lately; nothing before its first list. */
-    std::optional<FeedNews> news() const;
+    /** @return the time since the store was asked for the last of what this feed has read; nothing before its first list. */
+    std::optional<std::chrono::microseconds> age() const;
+    /** What this feed has read lately. */
+    const ChangeLog<FeedChange>& log() const { return m_log; }
+    /** @return the revision up to which the collection is known; nothing while it has to be listed. */
+    std::optional<uint64_t> knownThrough() const { return m_asOf; }
 
     /** To be called every 50 ms or so. */
     void tick();
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -16,6 +16,7 @@
     // Callers who find no configuration come back when the store has usually been read.
     constexpr milliseconds noConfigurationDelay { 500 };
     constexpr milliseconds drainingDelay { 50 }; // another host can take the request at once
+    constexpr milliseconds quotaRefreshInterval { 500 }; // well below the 3 s in which the smallest bursts refill
     constexpr double demandMemorySeconds = 3.0; // time constant of the smoothed demand: below a replica's start
 
     /** The path of a target without its query. */
@@ -161,6 +162,26 @@
     return customer;
 }
 
+QuotaLimit Forwarder::limitOf(const Customer& customer) const
+{
+    const auto& bounds = m_settings.bounds;
+    return limitWithTolerance({ .ratePerSecond = customer.ratePerSecond, .burst = customer.burst }, { .slack = bounds.quotaSlack, .overshoot = bounds.quotaOvershoot, .window = bounds.quotaWindow });
+}
+
+/** So that a customer's level follows what other hosts spend also before its first request at this one. */
+void Forwarder::refreshQuotas(MonotonicTime now)
+{
+    if (!m_table || now - m_quotasRefreshedAt < quotaRefreshInterval) {
+        return;
+    }
+    m_quotasRefreshedAt = now;
+    for (const auto& customer : m_table->configuration().customers) {
+        if (customer.ratePerSecond > 0) {
+            refreshQuota(m_quotas[customer.name], limitOf(customer), m_quotaOptions, now);
+        }
+    }
+}
+
 std::optional<milliseconds> Forwarder::overQuota(AdmittedRequest& request)
 {
     if (request.customer == nullptr) {
@@ -171,13 +192,12 @@
     if (customer.countsTokens) {
         request.quotaCost = request.caller.outputTokens ? request.caller.promptTokens + *request.caller.outputTokens : customer.plainTokens;
     }
-    const auto& bounds = m_settings.bounds;
-    const auto limit = limitWithTolerance({ .ratePerSecond = customer.ratePerSecond, .burst = customer.burst }, { .slack = bounds.quotaSlack, .overshoot = bounds.quotaOvershoot, .window = bounds.quotaWindow });
+    const auto limit = limitOf(customer);
     auto& quota = m_quotas[customer.name];
     refreshQuota(quota, limit, m_quotaOptions, std::chrono::steady_clock::now());
     auto wait = spendQuota(quota, limit, request.quotaCost);
     if (wait) {
-        m_log.info("customer over its limit", { { "attempt", request.caller.attemptId }, { "customer", customer.name }, { "cost", request.quotaCost }, { "level", quota.level }, { "rate_per_s", limit.ratePerSecond }, { "burst", limit.burst }, { "peers_known", quota.peers.size() } });
+        m_log.info("customer over its limit", { { "attempt", request.caller.attemptId }, { "customer", customer.name }, { "cost", request.quotaCost }, { "left", quota.level }, { "rate_per_s", limit.ratePerSecond }, { "burst", limit.burst }, { "peers_known", quota.peers.size() } });
     }
     return wait;
 }
@@ -257,6 +277,7 @@
 void Forwarder::tick(MonotonicTime now)
 {
     reviewReach(now);
+    refreshQuotas(now);
     for (const auto& [instance, replica] : m_replicas.all()) {
         dropOldConnections(*replica, now);
     }
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -13,7 +13,6 @@
     // A host that has been silent this long holds no keys that are current any more: it has lost the store and its peers.
     constexpr milliseconds quietTime { 6000 };
     constexpr milliseconds loadTime { 1500 }; // what a silent peer had at replicas has probably ended, unless it tells more rarely
-    constexpr uint64_t phases = 8; // first messages are spread over a turn, so that they do not arrive together later
 
     bool isRecent(const std::optional<MonotonicTime>& at, MonotonicTime now, milliseconds within)
     {
@@ -91,6 +90,7 @@
         return; // overtaken by a later one
     }
     if (newIncarnation) {
+        peer.known.clear();
         peer.joinedAt = now;
         peer.spendingKnown = false;
     }
@@ -103,8 +103,21 @@
     peer.heardAt = now;
     peer.failureDomain = state.failure_domain();
     noteDomainPeer(m_forwarder.reachOf(peer.failureDomain), now);
+    for (const auto identity : state.leaving_replicas()) {
+        m_forwarder.noteLeaving(identity, state.host());
+    }
+    applyProof(state);
+    if (m_domainNews.apply && state.news_size() > 0) {
+        m_domainNews.apply(state);
+    }
+    if (state.only_news()) {
+        return;
+    }
     peer.stopping = state.stopping();
     peer.wantsUsage = state.wants_usage();
+    for (const auto& known : state.known()) {
+        peer.known[known.collection()] = known.through();
+    }
     peer.services.clear();
     for (const auto& service : state.services()) {
         peer.services[service.service()] = service;
@@ -116,19 +129,12 @@
     if (peer.stopping) {
         forgetStopped(peer.failureDomain, now);
     }
-    for (const auto identity : state.leaving_replicas()) {
-        m_forwarder.noteLeaving(identity, state.host());
-    }
     applyLoads(state);
     applySpending(peer, state, now);
-    applyProof(state);
     if (state.tells_usage()) {
         peer.usageAt = now;
         applyUsage(state);
     }
-    if (m_domainNews.apply && state.news_size() > 0) {
-        m_domainNews.apply(state);
-    }
 }
 
 void PeerExchange::applyLoads(const schema::HostStateMessage& state)
@@ -225,6 +231,20 @@
     }
     applyPeerLoads(m_loads, m_forwarder.replicas());
     noteOwnSpending(now);
+    reviewDomains();
+}
+
+void PeerExchange::reviewDomains()
+{
+    std::map<std::string, size_t> hosts;
+    for (const auto& [host, peer] : m_peers) {
+        if (!peer.failureDomain.empty() && !peer.stopping) {
+            ++hosts[peer.failureDomain];
+        }
+    }
+    for (const auto& [domain, count] : hosts) {
+        m_forwarder.reachOf(domain).peerSilence = domainSilentAfter(domain == m_settings.failureDomain ? m_pace.ownDomain : m_pace.otherDomains, count);
+    }
 }
 
 void PeerExchange::tick(MonotonicTime now)
@@ -236,10 +256,11 @@
     std::optional<schema::HostStateMessage> state;
     for (auto& [host, peer] : m_peers) {
         if (peer.nextAt && now < *peer.nextAt) {
+            tellNews(host, peer, now);
             continue;
         }
         const auto turn = turnFor(peer, now);
-        peer.nextAt = now + (peer.nextAt ? turn : turn * static_cast<int64_t>(std::hash<std::string> {}(host) % phases) / int64_t { phases });
+        peer.nextAt = now + (peer.nextAt ? turn : phaseInTurn(m_settings.host, host, turn));
         if (!state) {
             state = ownState();
         }
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -32,6 +32,9 @@
     state.set_configuration_version(m_forwarder.table() ? m_forwarder.table()->configuration().version : 0);
     state.set_stopping(m_stopping);
     state.set_wants_usage(m_gathersUsage);
+    if (m_domainNews.tellKnown) {
+        m_domainNews.tellKnown(state);
+    }
     for (const auto& [instance, replica] : m_forwarder.replicas().all()) {
         if (replica->leavingByAnswer && state.leaving_replicas_size() < maxLeavingTold) {
             state.add_leaving_replicas(replica->identity);
@@ -113,16 +116,40 @@
         tellUsage(message);
     }
     if (m_domainNews.tell && peer.failureDomain == m_settings.failureDomain) {
-        m_domainNews.tell(message);
+        m_domainNews.tell(message, peer.known);
     }
     message.set_sequence(++m_sequence);
+    tellProof(peer, message);
+    return message;
+}
+
+void PeerExchange::tellProof(PeerHost& peer, schema::HostStateMessage& message) const
+{
     const auto provenAt = m_forwarder.provenAt();
-    if (peer.askedProofAt && provenAt && peer.askedVersion == state.configuration_version()) {
+    if (peer.askedProofAt && provenAt && peer.askedVersion == message.configuration_version()) {
         message.set_proof_for_us(*peer.askedProofAt);
         message.set_proof_age_us(bootMicroseconds(BootClock::now()) - bootMicroseconds(*provenAt));
     }
     peer.askedProofAt.reset();
-    return message;
+}
+
+void PeerExchange::tellNews(const std::string& host, PeerHost& peer, MonotonicTime now)
+{
+    const bool due = !peer.nextNewsAt || now >= *peer.nextNewsAt;
+    if (!due || peer.failureDomain != m_settings.failureDomain || !mayServe(peer, now) || !m_domainNews.isFollowed || !m_domainNews.isFollowed()) {
+        return;
+    }
+    peer.nextNewsAt = now + (peer.nextNewsAt ? m_pace.news : phaseInTurn(m_settings.host, host, m_pace.news));
+    schema::HostStateMessage message;
+    message.set_host(m_settings.host);
+    message.set_failure_domain(m_settings.failureDomain);
+    message.set_incarnation(m_incarnation);
+    message.set_configuration_version(m_forwarder.table() ? m_forwarder.table()->configuration().version : 0);
+    message.set_only_news(true);
+    m_domainNews.tell(message, peer.known);
+    message.set_sequence(++m_sequence);
+    tellProof(peer, message);
+    sendTo(peer, message);
 }
 
 void PeerExchange::sendTo(PeerHost& peer, const schema::HostStateMessage& state)
--- a/packages/forwarding/src/StoreFeed.cpp
+++ b/packages/forwarding/src/StoreFeed.cpp
@@ -179,14 +179,12 @@
     tick();
 }
 
-std::optional<FeedNews> StoreFeed::news() const
+std::optional<std::chrono::microseconds> StoreFeed::age() const
 {
     if (!m_asOf || !m_askedAt) {
         return std::nullopt;
     }
-    FeedNews news { .age = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - *m_askedAt) };
-    news.batches.assign(m_log.batches.begin(), m_log.batches.end());
-    return news;
+    return std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - *m_askedAt);
 }
 
 void StoreFeed::record(uint64_t from, uint64_t asOf, std::vector<FeedChange>&& changes)
--- a/packages/forwarding/src/StoreNews.cpp
+++ b/packages/forwarding/src/StoreNews.cpp
@@ -2,74 +2,134 @@
 
 #include "siskinspread/DutyRank.h"
 
+#include <zstd.h>
+
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
 
-    using std::chrono::milliseconds;
-
     constexpr std::string_view watchDuty = "store watch";
     constexpr uint32_t watchers = 2; // a failure domain: one may end, stall or be turned away
     constexpr size_t fewestHosts = 5; // of a failure domain in which others are followed; fewer watch for themselves
-    constexpr milliseconds encodedFor { 40 }; // less than a tick
+    constexpr size_t smallBatchBytes = 512; // compression gains little below
+    constexpr int compressionLevel = 1; // the fastest: entries of replicas are alike
+    constexpr size_t maxBatchBytes = 24U << 10U; // compressed; half of a datagram, which holds other batches as well
+    constexpr size_t maxNewsBytes = 48U << 10U; // of one message; what is left out follows once the receiver knows the rest
+    constexpr size_t maxDecompressedBytes = 1U << 20U; // far above what 24 KB of entries expand to; a bound for bytes that are no news
 
-    schema::StoreNewsMessage encode(const FeedNews& news, uint32_t collection, bool withContent)
+    schema::StoreChangeMessage encodeChange(const FeedChange& change, bool withContent)
     {
-        schema::StoreNewsMessage message;
-        message.set_collection(collection);
-        message.set_age_us(static_cast<uint64_t>(news.age.count()));
-        for (const auto& batch : news.batches) {
-            auto& changes = *message.add_batches();
-            changes.set_from(batch.from);
-            changes.set_through(batch.asOf);
-            for (const auto& one : batch.changes) {
-                auto& change = *changes.add_changes();
-                change.set_name(one.change.document.name);
-                change.set_revision(one.change.document.revision);
-                change.set_removed(one.change.removed);
-                change.set_recovering(one.recovering);
-                if (withContent && !one.change.removed) {
-                    change.set_content(one.change.document.content.dump());
-                }
-            }
+        schema::StoreChangeMessage message;
+        message.set_name(change.change.document.name);
+        message.set_revision(change.change.document.revision);
+        message.set_removed(change.change.removed);
+        message.set_recovering(change.recovering);
+        if (withContent && !change.change.removed) {
+            message.set_content(change.change.document.content.dump());
         }
         return message;
     }
 
+    FeedChange decodeChange(const schema::StoreChangeMessage& message)
+    {
+        FeedChange change { .change = { .removed = message.removed(), .document = { .name = message.name(), .revision = message.revision() } }, .recovering = message.recovering() };
+        if (!message.removed()) {
+            auto& content = change.change.document.content;
+            content = nlohmann::json::parse(message.content(), nullptr, false);
+            change.withContent = !content.is_discarded();
+        }
+        return change;
+    }
+
+    std::string compress(const std::string& bytes)
+    {
+        std::string compressed(ZSTD_compressBound(bytes.size()), 0);
+        const auto size = ZSTD_compress(compressed.data(), compressed.size(), bytes.data(), bytes.size(), compressionLevel);
+        compressed.resize(ZSTD_isError(size) != 0 ? 0 : size); // empty: counts as too large
+        return compressed;
+    }
+
+    std::optional<std::string> decompress(const std::string& compressed, LastReason& reason)
+    {
+        const auto size = ZSTD_getFrameContentSize(compressed.data(), compressed.size());
+        if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > maxDecompressedBytes) {
+            return fail(reason, ResultCode::MalformedRequest, "the compressed changes name no size within bounds");
+        }
+        std::string bytes(size, 0);
+        const auto written = ZSTD_decompress(bytes.data(), bytes.size(), compressed.data(), compressed.size());
+        if (ZSTD_isError(written) != 0 || written != size) {
+            return fail(reason, ResultCode::MalformedRequest, "the compressed changes cannot be read");
+        }
+        return bytes;
+    }
+
 } // namespace
 
-FeedChange StoreNews::decode(const schema::StoreChangeMessage& message, const std::string& sender, bool withContent)
+schema::StoreChangesMessage encodeBatch(const FeedBatch& batch)
 {
-    FeedChange change { .change = { .removed = message.removed(), .document = { .name = message.name(), .revision = message.revision() } }, .recovering = message.recovering() };
-    if (message.removed()) {
-        return change;
+    schema::StoreChangesMessage message;
+    message.set_from(batch.from);
+    message.set_through(batch.asOf);
+    for (const auto& change : batch.changes) {
+        *message.add_changes() = encodeChange(change, true);
+    }
+    if (message.ByteSizeLong() <= smallBatchBytes) {
+        return message;
     }
-    if (withContent) {
-        change.change.document.content = nlohmann::json::parse(message.content(), nullptr, false);
+    schema::StoreChangeListMessage list;
+    list.mutable_changes()->Swap(message.mutable_changes());
+    message.set_compressed_changes(compress(list.SerializeAsString()));
+    const auto size = message.compressed_changes().size();
+    if (size == 0 || size > maxBatchBytes) {
+        message.clear_compressed_changes();
+        for (const auto& change : batch.changes) {
+            *message.add_changes() = encodeChange(change, false);
+        }
+    }
+    return message;
+}
+
+std::optional<FeedBatch> decodeBatch(const schema::StoreChangesMessage& message, LastReason& reason)
+{
+    FeedBatch batch { .from = message.from(), .asOf = message.through() };
+    schema::StoreChangeListMessage list;
+    const auto* changes = &message.changes();
+    if (!message.compressed_changes().empty()) {
+        const auto bytes = decompress(message.compressed_changes(), reason);
+        if (!bytes) {
+            return std::nullopt;
+        }
+        if (!list.ParseFromString(*bytes)) {
+            return fail(reason, ResultCode::MalformedRequest, "the compressed changes are no list of changes");
+        }
+        changes = &list.changes();
     }
-    change.withContent = withContent && !change.change.document.content.is_discarded();
-    if (withContent && !change.withContent) {
-        m_log.warning("document of a peer unreadable", { { "peer", sender }, { "document", message.name() }, { "revision", message.revision() } });
+    for (const auto& change : *changes) {
+        batch.changes.push_back(decodeChange(change));
     }
-    return change;
+    return batch;
 }
 
-FeedNews StoreNews::decode(const schema::StoreNewsMessage& message, const std::string& sender, bool withContent)
+FeedNews StoreNews::decode(const schema::StoreNewsMessage& message, const std::string& sender)
 {
     FeedNews news { .age = std::chrono::microseconds { message.age_us() } };
     for (const auto& changes : message.batches()) {
-        FeedBatch batch { .from = changes.from(), .asOf = changes.through() };
-        for (const auto& change : changes.changes()) {
-            batch.changes.push_back(decode(change, sender, withContent));
+        LastReason reason;
+        auto batch = decodeBatch(changes, reason);
+        if (!batch) {
+            m_log.warning("changes of a peer unreadable", { { "peer", sender }, { "collection", message.collection() }, { "through", changes.through() }, { "why", reason.detail } });
+            break; // what comes later does not join up either
         }
-        news.batches.push_back(std::move(batch));
+        news.batches.push_back(std::move(*batch));
     }
     return news;
 }
 
-void StoreNews::add(StoreCollection collection, StoreFeed& feed, bool withContent)
+void StoreNews::add(StoreCollection collection, StoreFeed& feed)
 {
-    m_feeds[static_cast<uint32_t>(collection)] = { .feed = &feed, .withContent = withContent };
+    m_feeds[static_cast<uint32_t>(collection)].feed = &feed;
 }
 
 void StoreNews::chooseRole(const std::vector<std::string>& domainHosts)
@@ -85,28 +145,65 @@
     }
 }
 
-void StoreNews::tell(schema::HostStateMessage& message, MonotonicTime now)
+/** Keeps what was encoded before of the batches that are still in the log. */
+void StoreNews::encodeLog(Feed& feed)
+{
+    auto before = std::move(feed.encoded);
+    feed.encoded.clear();
+    for (const auto& batch : feed.feed->log().batches) {
+        auto known = std::find_if(before.begin(), before.end(), [&](const auto& message) { return message.from() == batch.from && message.through() == batch.asOf; });
+        if (known == before.end()) {
+            feed.encoded.push_back(encodeBatch(batch));
+        } else {
+            feed.encoded.push_back(std::move(*known));
+            known->Clear();
+        }
+    }
+}
+
+void StoreNews::tell(schema::HostStateMessage& message, const KnownRevisions& known)
 {
-    if (m_follows || !m_isFollowed) {
+    if (!isFollowed()) {
         return;
     }
-    if (!m_encodedAt || now - *m_encodedAt >= encodedFor) {
-        m_encodedAt = now;
-        m_encoded.Clear();
-        for (const auto& [collection, feed] : m_feeds) {
-            if (auto news = feed.feed->news()) {
-                *m_encoded.add_news() = encode(*news, collection, feed.withContent);
+    for (auto& [collection, feed] : m_feeds) {
+        const auto age = feed.feed->age();
+        if (!age) {
+            continue;
+        }
+        encodeLog(feed);
+        auto& news = *message.add_news();
+        news.set_collection(collection);
+        news.set_age_us(static_cast<uint64_t>(age->count()));
+        const auto through = known.find(collection);
+        for (const auto& batch : feed.encoded) {
+            if (through != known.end() && batch.through() <= through->second) {
+                continue;
+            }
+            if (message.ByteSizeLong() + batch.ByteSizeLong() > maxNewsBytes) {
+                break;
             }
+            *news.add_batches() = batch;
+        }
+    }
+}
+
+void StoreNews::tellKnown(schema::HostStateMessage& message) const
+{
+    for (const auto& [collection, feed] : m_feeds) {
+        if (const auto through = feed.feed->knownThrough()) {
+            auto& known = *message.add_known();
+            known.set_collection(collection);
+            known.set_through(*through);
         }
     }
-    message.mutable_news()->CopyFrom(m_encoded.news());
 }
 
 void StoreNews::apply(const schema::HostStateMessage& message)
 {
     for (const auto& news : message.news()) {
         if (auto feed = m_feeds.find(news.collection()); feed != m_feeds.end()) {
-            feed->second.feed->applyNews(decode(news, message.host(), feed->second.withContent));
+            feed->second.feed->applyNews(decode(news, message.host()));
         }
     }
 }
--- a/packages/forwarding/src/StoreReader.cpp
+++ b/packages/forwarding/src/StoreReader.cpp
@@ -25,10 +25,11 @@
     , m_replicas(context, calls, adapter, { .collection = StoreCollection::Replicas, .purpose = "replicas", .watchWait = replicaWatch }, replicaHandlers())
     , m_news(settings.host, log)
 {
-    // A configuration may be larger than a datagram; it changes rarely.
-    m_news.add(StoreCollection::Configuration, m_configuration, false);
-    m_news.add(StoreCollection::Replicas, m_replicas, true);
-    m_peers.setDomainNews({ .tell = [this](schema::HostStateMessage& message) { m_news.tell(message, std::chrono::steady_clock::now()); },
+    m_news.add(StoreCollection::Configuration, m_configuration);
+    m_news.add(StoreCollection::Replicas, m_replicas);
+    m_peers.setDomainNews({ .isFollowed = [this] { return m_news.isFollowed(); },
+        .tell = [this](schema::HostStateMessage& message, const KnownRevisions& known) { m_news.tell(message, known); },
+        .tellKnown = [this](schema::HostStateMessage& message) { m_news.tellKnown(message); },
         .apply = [this](const schema::HostStateMessage& message) { m_news.apply(message); } });
 }
 
