Look at the peers of a customer's level only when one may be silent, and at followers only on hosts that are followed

What was assumed of a silent host was dropped when it was heard, before its spending was charged, and so counted twice.

--- a/packages/decisions/include/siskinspread/SharedQuota.h
+++ b/packages/decisions/include/siskinspread/SharedQuota.h
@@ -49,6 +49,7 @@
     double spent { 0 }; /**< By this host since its start. */
     std::optional<MonotonicTime> updatedAt;
     std::unordered_map<std::string, QuotaPeer> peers;
+    std::optional<MonotonicTime> reviewAt; /**< Before then no peer can have become silent; empty: not known. */
 };
 
 struct SharedQuotaOptions {
@@ -82,6 +83,12 @@
 /** A host was heard that has not spent anything since it told of its spending. Thread safety: as refreshQuota. */
 void notePeerHeard(SharedQuota& quota, const std::string& host, uint64_t incarnation, MonotonicTime now);
 
+/**
+ * @return whether peers may be taken for silent from `now` on, so that notePeerHeard has to tell of those that were heard. Asking
+ * first spares touching every peer of every customer for each message. Thread safety: const.
+ */
+bool isPeerReviewDue(const SharedQuota& quota, MonotonicTime now);
+
 /** A host has said that it stops: nothing is assumed of it any more. Thread safety: as refreshQuota. */
 void notePeerStop(SharedQuota& quota, const std::string& host);
 
--- a/packages/decisions/src/SharedQuota.cpp
+++ b/packages/decisions/src/SharedQuota.cpp
@@ -9,14 +9,20 @@
 
     void assumeSpending(SharedQuota& quota, const QuotaLimit& limit, const SharedQuotaOptions& options, double seconds, MonotonicTime now)
     {
+        if (!isPeerReviewDue(quota, now)) {
+            return;
+        }
         const double even = limit.ratePerSecond / static_cast<double>(quota.peers.size() + 1);
         std::erase_if(quota.peers, [&](const auto& entry) { return now - entry.second.heardAt > options.endedAfter; });
+        auto reviewAt = now + options.silentAfter;
         for (auto& [host, peer] : quota.peers) {
+            reviewAt = std::min(reviewAt, peer.heardAt + options.silentAfter);
             if (now - peer.heardAt > options.silentAfter) {
                 peer.assumed += even * seconds;
                 quota.level -= even * seconds;
             }
         }
+        quota.reviewAt = reviewAt;
     }
 
 } // namespace
@@ -75,11 +81,16 @@
 
 void notePeerHeard(SharedQuota& quota, const std::string& host, uint64_t incarnation, MonotonicTime now)
 {
-    if (auto peer = quota.peers.find(host); peer != quota.peers.end() && peer->second.incarnation == incarnation) {
+    if (auto peer = quota.peers.find(host); peer != quota.peers.end() && peer->second.incarnation == incarnation && peer->second.heardAt < now) {
         notePeerSpending(quota, host, incarnation, peer->second.spent, now);
     }
 }
 
+bool isPeerReviewDue(const SharedQuota& quota, MonotonicTime now)
+{
+    return !quota.reviewAt || now >= *quota.reviewAt;
+}
+
 void notePeerStop(SharedQuota& quota, const std::string& host)
 {
     quota.peers.erase(host);
--- a/packages/decisions/tests/SharedQuotaTest.cpp
+++ b/packages/decisions/tests/SharedQuotaTest.cpp
@@ -177,3 +177,22 @@
     refreshQuota(quota, limit, {}, now);
     CHECK(quota.peers.at("b").assumed > 0);
 }
+
+TEST_CASE("peers are looked at only when one may have become silent, and what was assumed of it is not charged again")
+{
+    SharedQuota quota;
+    refreshQuota(quota, limit, {}, start);
+    notePeerSpending(quota, "b", 1, 0, start, 0.0);
+    auto now = start + milliseconds { 100 };
+    refreshQuota(quota, limit, {}, now);
+    CHECK_FALSE(isPeerReviewDue(quota, start + milliseconds { 999 }));
+    CHECK(isPeerReviewDue(quota, start + milliseconds { 1000 }));
+    now = start + milliseconds { 1500 };
+    refreshQuota(quota, limit, {}, now);
+    const double assumed = quota.peers.at("b").assumed;
+    CHECK(assumed > 0);
+    const double before = quota.level;
+    notePeerSpending(quota, "b", 1, assumed, now);
+    CHECK(quota.level == doctest::Approx(before));
+    CHECK(quota.peers.at("b").assumed == doctest::Approx(0));
+}
--- a/packages/forwarding/include/siskinspread/PeerExchange.h
+++ b/packages/forwarding/include/siskinspread/PeerExchange.h
@@ -108,6 +108,7 @@
     void tellNews(const std::string& host, PeerHost&, MonotonicTime now);
     void tellProof(PeerHost&, schema::HostStateMessage&) const;
     void reviewDomains();
+    void tellQuotasWhoWasHeard(MonotonicTime now);
     void sendTo(PeerHost&, const schema::HostStateMessage&);
     std::chrono::milliseconds turnFor(const PeerHost&, MonotonicTime now) const;
     void review(MonotonicTime now);
@@ -132,6 +133,7 @@
     uint64_t m_incarnation { 0 };
     uint64_t m_sequence { 0 };
     std::optional<MonotonicTime> m_reviewedAt;
+    std::optional<MonotonicTime> m_domainsReviewedAt;
     bool m_gathersUsage { false };
     bool m_stopping { false };
 };
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -9,6 +9,7 @@
     using std::chrono::milliseconds;
 
     constexpr milliseconds reviewInterval { 200 };
+    constexpr milliseconds domainReviewInterval { 1000 }; // hosts come and go rarely
     constexpr milliseconds turnToSilent { 1000 };
     // A host that has been silent this long holds no keys that are current any more: it has lost the store and its peers.
     constexpr milliseconds quietTime { 6000 };
@@ -156,9 +157,6 @@
         }
         return;
     }
-    for (auto& [customer, quota] : quotas) {
-        notePeerHeard(quota, state.host(), state.incarnation(), now);
-    }
     // A host that has told of all customers had spent nothing of those that it names only now.
     const auto before = peer.spendingKnown ? std::optional { 0.0 } : std::nullopt;
     for (const auto& spending : state.spending()) {
@@ -231,7 +229,25 @@
     }
     applyPeerLoads(m_loads, m_forwarder.replicas());
     noteOwnSpending(now);
-    reviewDomains();
+    tellQuotasWhoWasHeard(now);
+    if (!m_domainsReviewedAt || now - *m_domainsReviewedAt >= domainReviewInterval) {
+        m_domainsReviewedAt = now;
+        reviewDomains();
+    }
+}
+
+void PeerExchange::tellQuotasWhoWasHeard(MonotonicTime now)
+{
+    for (auto& [customer, quota] : m_forwarder.quotas()) {
+        if (!isPeerReviewDue(quota, now + 2 * reviewInterval)) {
+            continue;
+        }
+        for (const auto& [host, peer] : m_peers) {
+            if (peer.heardAt && !peer.stopping) {
+                notePeerHeard(quota, host, peer.incarnation, *peer.heardAt);
+            }
+        }
+    }
 }
 
 void PeerExchange::reviewDomains()
@@ -253,10 +269,13 @@
         m_reviewedAt = now;
         review(now);
     }
+    const bool isFollowed = m_domainNews.isFollowed && m_domainNews.isFollowed();
     std::optional<schema::HostStateMessage> state;
     for (auto& [host, peer] : m_peers) {
         if (peer.nextAt && now < *peer.nextAt) {
-            tellNews(host, peer, now);
+            if (isFollowed) {
+                tellNews(host, peer, now);
+            }
             continue;
         }
         const auto turn = turnFor(peer, now);
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -136,7 +136,7 @@
 void PeerExchange::tellNews(const std::string& host, PeerHost& peer, MonotonicTime now)
 {
     const bool due = !peer.nextNewsAt || now >= *peer.nextNewsAt;
-    if (!due || peer.failureDomain != m_settings.failureDomain || !mayServe(peer, now) || !m_domainNews.isFollowed || !m_domainNews.isFollowed()) {
+    if (!due || peer.failureDomain != m_settings.failureDomain || !mayServe(peer, now)) {
         return;
     }
     peer.nextNewsAt = now + (peer.nextNewsAt ? m_pace.news : phaseInTurn(m_settings.host, host, m_pace.news));
