--- a/packages/transport/src/CurlTransfer.cpp
+++ b/packages/transport/src/CurlTransfer.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // The library bounds a line, not their number. Servers commonly send a few KB.
+    constexpr size_t maxHeaderBytes = 64U << 10U;
+
     std::string_view trim(std::string_view text)
     {
         constexpr std::string_view blanks = " \t\r\n";
@@ -68,6 +71,11 @@
 size_t CurlTransfer::onHeader(char* data, size_t size, size_t count, void* self)
 {
     auto& transfer = *static_cast<CurlTransfer*>(self);
+    transfer.m_headerBytes += size * count;
+    if (transfer.m_headerBytes > maxHeaderBytes) {
+        transfer.m_headersTooLarge = true;
+        return 0;
+    }
     const std::string_view line = trim({ data, size * count });
     if (line.starts_with("HTTP/")) {
         transfer.m_headers.clear(); // an interim response came before
@@ -127,7 +135,7 @@
         long requestBytes = 0;
         curl_easy_getinfo(handle(), CURLINFO_REQUEST_SIZE, &requestBytes);
         ended.end = requestBytes ? TransferEnd::Broken : TransferEnd::NothingSent;
-        ended.detail = m_bodyTooLarge ? "the answer exceeds the limit" : curl_easy_strerror(result);
+        ended.detail = m_bodyTooLarge || m_headersTooLarge ? "the answer exceeds the limit" : curl_easy_strerror(result);
         return ended;
     }
     emitHeadersOnce();
--- a/packages/transport/src/CurlTransfer.h
+++ b/packages/transport/src/CurlTransfer.h
@@ -52,6 +52,8 @@
     std::string m_body;
     bool m_headersEmitted { false };
     bool m_paused { false };
+    size_t m_headerBytes { 0 }; /**< Of all heads, interim ones included, and of trailers. */
+    bool m_headersTooLarge { false };
     bool m_bodyTooLarge { false };
 };
 
