Plan replicas with small batches by three fifths of their slots, and cap what large batches count for

Cause: two fifths of the slots were fitted to replicas with 64: 25 requests side by side, beyond which each token takes notably longer. With 12 slots they are 5 requests, where a token takes 4 % longer, so on the large site slots and not prompts set the number of replicas.

--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -37,7 +37,9 @@
 struct FleetPlanOptions {
     double promptTokensPerSecond { 50000 }; /**< That a replica computes when it does nothing else; as in PlacementOptions. */
     double promptShare { 0.45 }; /**< Of that speed that may be used: the rest goes to the tokens of running requests. */
-    double slotShare { 0.4 }; /**< Of the slots that may be used: beyond it each token takes notably longer. */
+    double slotShare { 0.6 }; /**< Of the slots that may be used: the rest is for bursts, and for what hosts do not know of each other. */
+    /** That a replica serves side by side however many slots it has: beyond them each token takes notably longer. */
+    double requestsPerReplica { 26 };
     double headroom { 1.15 }; /**< For the rise until a replica that is ordered now serves. */
     double ordinaryShare { 0.25 }; /**< Of what is needed, that a reclaim cannot take away. */
     double reclaimableShare { 1.1 }; /**< Of what is needed, that may be taken away a domain at a time. */
--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -9,7 +9,7 @@
 uint32_t replicasNeeded(const FleetDemand& demand, const FleetLimits& limits, const FleetPlanOptions& options)
 {
     const double byPrompts = demand.promptTokensPerSecond / (options.promptTokensPerSecond * options.promptShare);
-    const double byRequests = demand.requests / (limits.slots * options.slotShare);
+    const double byRequests = demand.requests / std::min(limits.slots * options.slotShare, options.requestsPerReplica);
     return static_cast<uint32_t>(std::ceil(std::max(byPrompts, byRequests) * options.headroom));
 }
 
