--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -114,6 +114,9 @@
     void onMoved(std::optional<MemoryMoveAnswer>, const LastReason&);
     void continueMoved();
 
+    /** Answers up to this size are delivered only once they are whole, so that a broken one can still become an error. */
+    static constexpr size_t maxWholeBytes = 256U << 10U;
+
     Forwarder& m_forwarder;
     AdmittedRequest m_request;
     asio::steady_timer m_timer;
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -2,8 +2,6 @@
 
 #include "siskinspread/Forwarder.h"
 
-#include <utility>
-
 namespace siskinspread {
 
 namespace {
@@ -14,11 +12,6 @@
     // A kept connection whose replica may close it at any moment is not used: the request could be lost on the way.
     constexpr milliseconds idleMargin { 500 };
     constexpr milliseconds idleMarginOnce { 1200 }; // for requests that may not be repeated
-    // Answers up to this size are delivered only once they are whole, so that a broken one can still become an error.
-    constexpr size_t maxWholeBytes = 256U << 10U;
-    constexpr size_t maxUnwrittenBytes = 256U << 10U;
-    constexpr size_t maxEventBytes = 256U << 10U; // an event holds a few tokens
-    constexpr int firstFailureStatus = 300;
     constexpr uint32_t maxNotArrived = 4; // replicas that are tried for one request when none takes the connection
     constexpr uint32_t maxUrgency = 9;
 
@@ -183,60 +176,6 @@
     caller.beginAnswer(head, m_request.received.head.method == "HEAD");
 }
 
-void Exchange::onAnswerBody(std::string_view bytes)
-{
-    if (isDone()) {
-        return;
-    }
-    if (m_phase != Phase::Answering) {
-        m_body.append(bytes);
-        if (m_body.size() > maxWholeBytes) {
-            onLargeBody();
-        }
-        return;
-    }
-    noteDomainBytes(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
-    if (m_request.route->resumable || isMovable()) {
-        passOn(m_events.feed(bytes));
-        if (m_events.partBytes() > maxEventBytes) {
-            breakOffReplica();
-        }
-    } else {
-        passOn(bytes);
-    }
-}
-
-void Exchange::onLargeBody()
-{
-    if (m_attempt.notExecuted) {
-        auto connection = m_attempt.connection;
-        connection->close();
-        onNotExecuted();
-    } else if (m_answer.status >= firstFailureStatus) {
-        breakOffReplica();
-    } else {
-        m_streaming = true;
-        beginStream(std::move(m_answer));
-        passOn(std::exchange(m_body, {}));
-    }
-}
-
-void Exchange::breakOffReplica()
-{
-    auto connection = m_attempt.connection;
-    connection->close();
-    onAnswerBroken(ReplicaFailure::Unreadable);
-}
-
-void Exchange::passOn(std::string_view bytes)
-{
-    auto& caller = *m_request.received.connection;
-    caller.sendBody(bytes);
-    if (caller.unwrittenBytes() > maxUnwrittenBytes && m_attempt.connection) {
-        m_attempt.connection->pauseReading();
-    }
-}
-
 void Exchange::onAnswerComplete()
 {
     if (isDone()) {
@@ -272,22 +211,6 @@
     deliverWhole();
 }
 
-void Exchange::deliverWhole()
-{
-    auto connection = m_request.received.connection;
-    auto head = std::move(m_answer);
-    const auto body = std::move(m_body);
-    const bool headOnly = m_request.received.head.method == "HEAD";
-    finish(head.status < 500 ? ResultCode::Ok : ResultCode::BackendError, head.status, "answer of the replica");
-    if (!headOnly && head.framing != BodyFraming::None) {
-        head.framing = BodyFraming::Length;
-        head.length = body.size();
-    }
-    connection->beginAnswer(head, headOnly);
-    connection->sendBody(body);
-    connection->endAnswer();
-}
-
 void Exchange::onNotExecuted()
 {
     auto& replica = *m_attempt.replica;
