--- a/packages/transport/tests/EndlessAnswerThreadTest.cpp
+++ b/packages/transport/tests/EndlessAnswerThreadTest.cpp
@@ -62,15 +62,19 @@
 
 TEST_CASE("a head, interim answers, a trailer or a body without end is given up on after a bounded number of bytes")
 {
-    const std::pair<const char*, const char*> cases[] {
+    struct Case {
+        const char* begin;
+        const char* piece;
+    };
+    const Case cases[] {
         { "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" },
         { "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n" },
         { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n" },
         { "HTTP/1.1 200 OK\r\n\r\n", "x" },
     };
-    for (const auto& [begin, piece] : cases) {
-        CAPTURE(begin);
-        EndlessServer server { begin, piece };
+    for (const auto& one : cases) {
+        CAPTURE(one.begin);
+        EndlessServer server { one.begin, one.piece };
         const StartTransfer request { .method = "GET",
             .url = "http://127.0.0.1:" + std::to_string(server.acceptor.local_endpoint().port()) + "/",
             .totalTimeout = std::chrono::seconds { 20 },
