Take the leaner fleet back: callers were served worse

Tried: a need that falls by 5.5 of 100 a second in place of one replica, and three fifths of the slots of small batches in place of two.

What the model of FleetLoadTest did not have: reclaims, a load that rises while replicas start, and hosts that do not know of each other. A gain that is paid by callers does not count. Which of the two did it was not played apart.

--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -37,14 +37,11 @@
 struct FleetPlanOptions {
     double promptTokensPerSecond { 50000 }; /**< That a replica computes when it does nothing else; as in PlacementOptions. */
     double promptShare { 0.45 }; /**< Of that speed that may be used: the rest goes to the tokens of running requests. */
-    double slotShare { 0.6 }; /**< Of the slots that may be used: the rest is for bursts, and for what hosts do not know of each other. */
-    /** That a replica serves side by side however many slots it has: beyond them each token takes notably longer. */
-    double requestsPerReplica { 26 };
+    double slotShare { 0.4 }; /**< Of the slots that may be used: beyond it each token takes notably longer. */
     double headroom { 1.15 }; /**< For the rise until a replica that is ordered now serves. */
     double ordinaryShare { 0.25 }; /**< Of what is needed, that a reclaim cannot take away. */
     double reclaimableShare { 1.1 }; /**< Of what is needed, that may be taken away a domain at a time. */
     uint32_t fewestOrdinary { 4 };
-    double loweredPerSecond { 0.055 }; /**< Of the need, by which it falls at most; one replica at least. */
 };
 
 /** Wanted replicas of one failure domain. */
@@ -58,12 +55,6 @@
 /** @return how many replicas the demand needs. Thread safety: reentrant. */
 uint32_t replicasNeeded(const FleetDemand&, const FleetLimits&, const FleetPlanOptions&);
 
-/**
- * Follows a need that has become lower, slowly enough that a short lull costs no replicas, and as fast for hundreds of replicas
- * as for a few. @return the need to plan for one second later. Thread safety: reentrant.
- */
-uint32_t loweredNeed(uint32_t planned, uint32_t needed, const FleetPlanOptions&);
-
 /**
  * Deals the replicas that are needed over the failure domains: ordinary ones to the cheapest, reclaimable ones evenly, since
  * they leave a domain at a time. Where no reclaimable ones are available, ordinary ones take their place. Each domain keeps its minimum, so that it can serve while it is cut off.
--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -9,16 +9,10 @@
 uint32_t replicasNeeded(const FleetDemand& demand, const FleetLimits& limits, const FleetPlanOptions& options)
 {
     const double byPrompts = demand.promptTokensPerSecond / (options.promptTokensPerSecond * options.promptShare);
-    const double byRequests = demand.requests / std::min(limits.slots * options.slotShare, options.requestsPerReplica);
+    const double byRequests = demand.requests / (limits.slots * options.slotShare);
     return static_cast<uint32_t>(std::ceil(std::max(byPrompts, byRequests) * options.headroom));
 }
 
-uint32_t loweredNeed(uint32_t planned, uint32_t needed, const FleetPlanOptions& options)
-{
-    const auto step = std::max(1U, static_cast<uint32_t>(std::lround(planned * options.loweredPerSecond)));
-    return std::max(needed, planned - std::min(planned, step));
-}
-
 std::vector<DomainOrder> planFleet(uint32_t needed, const std::vector<DomainFleet>& domains, const FleetLimits& limits, const FleetPlanOptions& options)
 {
     std::vector<DomainOrder> orders;
--- a/packages/forwarding/src/FleetOrders.cpp
+++ b/packages/forwarding/src/FleetOrders.cpp
@@ -54,7 +54,7 @@
         known->second = wanted;
         m_lowSince[service.name] = now;
     } else if (now - m_lowSince[service.name] > lowTime) {
-        known->second = loweredNeed(known->second, wanted, m_fleetOptions);
+        --known->second;
         m_lowSince[service.name] = now - lowTime + milliseconds { 1000 };
     }
     std::vector<DomainFleet> domains;
