Let a batch of news that cannot be read count as missing

Cause, found on reading the diff: a batch whose compressed changes could not be read was logged and left out, and the rest of the news then counted as complete, so that a follower took itself for current without it. Change: the batch keeps its place without contents, and the follower asks the store. Test: forwarding_tests 22 of 22. Not tested through a feed.

--- a/packages/forwarding/include/siskinspread/StoreNews.h
+++ b/packages/forwarding/include/siskinspread/StoreNews.h
@@ -25,6 +25,12 @@
  */
 std::optional<FeedBatch> decodeBatch(const schema::StoreChangesMessage&, LastReason& reason);
 
+/**
+ * Stands for a batch that cannot be read: a receiver that needs it finds its changes missing and asks the store, rather than taking
+ * the rest of the news for all there is. Thread safety: reentrant.
+ */
+FeedBatch unreadBatch(const schema::StoreChangesMessage&);
+
 /**
  * Passes what some hosts of a failure domain have read of the store on to the others, so that the calls to the store do not
  * grow with the number of hosts. Loop thread only.
--- a/packages/forwarding/src/StoreNews.cpp
+++ b/packages/forwarding/src/StoreNews.cpp
@@ -112,6 +112,11 @@
     return batch;
 }
 
+FeedBatch unreadBatch(const schema::StoreChangesMessage& message)
+{
+    return { .from = message.from(), .asOf = message.through(), .changes = { FeedChange { .withContent = false } } };
+}
+
 FeedNews StoreNews::decode(const schema::StoreNewsMessage& message, const std::string& sender)
 {
     FeedNews news { .age = std::chrono::microseconds { message.age_us() } };
@@ -120,7 +125,7 @@
         auto batch = decodeBatch(changes, reason);
         if (!batch) {
             m_log.warning("changes of a peer unreadable", { { "peer", sender }, { "collection", message.collection() }, { "through", changes.through() }, { "why", reason.detail } });
-            break; // what comes later does not join up either
+            batch = unreadBatch(changes);
         }
         news.batches.push_back(std::move(*batch));
     }
--- a/packages/forwarding/tests/StoreNewsTest.cpp
+++ b/packages/forwarding/tests/StoreNewsTest.cpp
@@ -97,3 +97,12 @@
     CHECK_FALSE(decodeBatch(huge, reason));
     CHECK(reason.detail == "the compressed changes name no size within bounds");
 }
+
+TEST_CASE("a batch that cannot be read keeps its place, with changes that have to be read from the store")
+{
+    const auto batch = unreadBatch(encodeBatch(reclaim(3)));
+    CHECK(batch.from == 100);
+    CHECK(batch.asOf == 103);
+    REQUIRE(batch.changes.size() == 1);
+    CHECK_FALSE(batch.changes.front().withContent);
+}
