Drop what a call has not delivered when it is given up

Change: connections of the HTTP client, and connections to replicas with a request in progress, are reset when they are closed; calls in the name of the duties are cancelled when the duties are lost. Ruled out: a longer margin of the lease, since a cut may outlast any margin. Not looked at: conditional writes of the lease itself; one that lands late still needs the revision that it names.

--- a/packages/forwarding/include/siskinspread/DutyDesk.h
+++ b/packages/forwarding/include/siskinspread/DutyDesk.h
@@ -58,6 +58,9 @@
     void readLease();
     void writeLease(const WriteLease&);
     std::optional<DutyStamp> stamp() const;
+    /** A call in the name of the duties, which ends with them. */
+    void startDutyCall(std::string_view purpose, StartTransfer, StoreCalls::Answered);
+    void cancelDutyCalls();
 
     void tickUsage();
     void readUsage();
@@ -85,6 +88,7 @@
     LeaseOptions m_leaseOptions;
     LeaseState m_lease;
     bool m_held { false };
+    std::set<TransferId> m_dutyCalls; /**< That are open. */
 
     std::optional<uint64_t> m_usageRevision; /**< Of the document with the decided windows; empty until it was read. */
     bool m_usageCallOpen { false };
--- a/packages/forwarding/include/siskinspread/StoreCalls.h
+++ b/packages/forwarding/include/siskinspread/StoreCalls.h
@@ -23,7 +23,10 @@
     StoreCalls& operator=(const StoreCalls&) = delete;
 
     /** Starts a call. `answered` is called exactly once, unless the calls are stopped first. @param purpose for the metrics. */
-    void start(std::string_view purpose, StartTransfer, Answered answered);
+    TransferId start(std::string_view purpose, StartTransfer, Answered answered);
+
+    /** Ends a call that is open; what has not left this host does not leave it any more. @return false when too many commands wait. */
+    bool cancel(TransferId);
 
     /** Ends all calls without their answers. Idempotent. */
     void stop();
--- a/packages/forwarding/src/DutyDesk.cpp
+++ b/packages/forwarding/src/DutyDesk.cpp
@@ -76,7 +76,27 @@
         m_log.info("duties gained", { { "fencing_number", gained->fencingNumber } });
     } else {
         m_held = false;
-        m_log.info("duties lost", {});
+        m_log.info("duties lost", { { "open_calls", m_dutyCalls.size() } });
+        cancelDutyCalls();
+    }
+}
+
+void DutyDesk::startDutyCall(std::string_view purpose, StartTransfer transfer, StoreCalls::Answered answered)
+{
+    auto call = std::make_shared<TransferId>();
+    *call = m_calls.start(purpose, std::move(transfer), [this, call, answered = std::move(answered)](const TransferEnded& ended) {
+        m_dutyCalls.erase(*call);
+        answered(ended);
+    });
+    m_dutyCalls.insert(*call);
+}
+
+void DutyDesk::cancelDutyCalls()
+{
+    for (const auto call : m_dutyCalls) {
+        if (!m_calls.cancel(call)) {
+            m_log.warning("call of the duties not cancelled", { { "why", "too many calls wait" } });
+        }
     }
 }
 
--- a/packages/forwarding/src/FleetOrders.cpp
+++ b/packages/forwarding/src/FleetOrders.cpp
@@ -129,12 +129,13 @@
     state.at = now;
     m_log.info("replicas ordered", { { "service", key.service }, { "domain", key.domain }, { "reclaimable", key.reclaimable }, { "replicas", replicas }, { "before", state.asked }, { "needed", m_needed[key.service] }, { "fencing_number", duty->fencingNumber } });
     const FleetOrder wanted { .service = key.service, .failureDomain = key.domain, .replicas = replicas, .reclaimable = key.reclaimable };
-    m_calls.start("fleet_order", m_adapter.orderReplicas(wanted, *duty), [this, key, replicas](const TransferEnded& ended) {
+    startDutyCall("fleet_order", m_adapter.orderReplicas(wanted, *duty), [this, key, replicas](const TransferEnded& ended) {
         auto& answered = m_orders[key];
         answered.open = false;
         answered.known = ended.end == TransferEnd::Complete && ended.status == 200;
         answered.asked = replicas;
-        answered.unavailable = ended.status == conflictStatus;
+        // An order that is met by what serves already says nothing of whether there are more.
+        answered.unavailable = ended.status == conflictStatus || (answered.unavailable && replicas <= servingAt(key));
         if (!answered.known) {
             answered.retryAt = std::chrono::steady_clock::now() + (ended.status == conflictStatus ? unavailableTime : milliseconds { 500 });
             m_log.warning("order for replicas not taken", { { "service", key.service }, { "domain", key.domain }, { "status", ended.status }, { "why", ended.detail } });
--- a/packages/forwarding/src/ReplicaConnection.cpp
+++ b/packages/forwarding/src/ReplicaConnection.cpp
@@ -259,10 +259,14 @@
     if (!m_open) {
         return;
     }
+    asio::error_code ignored; // nothing is left to be done with the socket
+    if (m_busy && m_connected) {
+        // A request that was given up must not arrive later, from a path that was silent for a while.
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    }
     m_open = false;
     m_busy = false;
     m_timer.cancel();
-    asio::error_code ignored; // nothing is left to be done with the socket
     m_socket.close(ignored);
     m_observer.reset();
 }
--- a/packages/forwarding/src/StoreCalls.cpp
+++ b/packages/forwarding/src/StoreCalls.cpp
@@ -28,7 +28,7 @@
     stop();
 }
 
-void StoreCalls::start(std::string_view purpose, StartTransfer transfer, Answered answered)
+TransferId StoreCalls::start(std::string_view purpose, StartTransfer transfer, Answered answered)
 {
     transfer.transfer = ++m_last;
     m_open.emplace(transfer.transfer, OpenCall { .purpose = purpose, .answered = std::move(answered) });
@@ -36,6 +36,13 @@
     if (!m_client.tryCommand(command)) {
         asio::post(m_context, [this, id = m_last] { onEnded(TransferEnded { .transfer = id, .end = TransferEnd::NothingSent, .detail = "too many calls wait" }); });
     }
+    return m_last;
+}
+
+bool StoreCalls::cancel(TransferId call)
+{
+    ClientCommand command { CancelTransfer { .transfer = call } };
+    return !m_open.contains(call) || m_client.tryCommand(command);
 }
 
 void StoreCalls::onEnded(const TransferEnded& ended)
--- a/packages/forwarding/src/UsageReports.cpp
+++ b/packages/forwarding/src/UsageReports.cpp
@@ -124,7 +124,7 @@
     m_usageCallOpen = true;
     auto call = m_usageRevision ? m_adapter.replaceDocument(StoreCollection::UsageWindows, usageName, *m_usageRevision, content)
                                 : m_adapter.createDocument(StoreCollection::UsageWindows, usageName, content);
-    m_calls.start("usage", std::move(call), [this, written = m_unwritten](const TransferEnded& ended) {
+    startDutyCall("usage", std::move(call), [this, written = m_unwritten](const TransferEnded& ended) {
         m_usageCallOpen = false;
         LastReason reason;
         const auto answer = m_adapter.storeAnswer(ended, true);
@@ -150,7 +150,7 @@
         return;
     }
     decided.open = true;
-    m_calls.start("usage_report", m_adapter.reportUsage({ .window = window, .requests = decided.counts }, *duty), [this, window](const TransferEnded& ended) {
+    startDutyCall("usage_report", m_adapter.reportUsage({ .window = window, .requests = decided.counts }, *duty), [this, window](const TransferEnded& ended) {
         auto found = m_windows.find(window);
         if (found == m_windows.end()) {
             return;
--- a/packages/transport/src/CurlTransfer.cpp
+++ b/packages/transport/src/CurlTransfer.cpp
@@ -1,5 +1,7 @@
 #include "CurlTransfer.h"
 
+#include <sys/socket.h>
+
 #include <string_view>
 
 namespace siskinspread {
@@ -19,6 +21,13 @@
         return text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
     }
 
+    /** Closing the connection drops what the peer has not received: on a path that is silent it would arrive later, when the call has been given up. */
+    int dropUnsentOnClose(void* /*unused*/, curl_socket_t socket, curlsocktype /*unused*/)
+    {
+        const linger atOnce { .l_onoff = 1, .l_linger = 0 };
+        return setsockopt(socket, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce) == 0 ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+    }
+
     long curlMilliseconds(std::chrono::milliseconds time)
     {
         return static_cast<long>(time.count());
@@ -46,6 +55,7 @@
     curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, curlMilliseconds(m_request.connectTimeout));
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, curlMilliseconds(m_request.totalTimeout));
     curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(curl, CURLOPT_SOCKOPTFUNCTION, &dropUnsentOnClose);
     curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, &CurlTransfer::onHeader);
     curl_easy_setopt(curl, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, &CurlTransfer::onBody);
