Choose the mix of replicas by its expected cost, and order them into places that are free

Hypothesis: fixed shares (four ordinary replicas, a quarter ordinary, 1.1 of the need reclaimable) pay for ordinary replicas where reclaimable ones cost a fifth; enough of these survive the reclaim of a domain and also serve a sudden rise.

--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -16,6 +16,7 @@
     std::string domain;
     double price { 1.0 }; /**< Of an ordinary replica for a second. */
     uint32_t reclaimable { 0 }; /**< Serving now. */
+    uint32_t ordinary { 0 }; /**< Serving now. */
     bool reclaimableUnavailable { false }; /**< No more were available when they were last ordered. */
 };
 
@@ -39,9 +40,12 @@
     double promptShare { 0.45 }; /**< Of that speed that may be used: the rest goes to the tokens of running requests. */
     double slotShare { 0.4 }; /**< Of the slots that may be used: beyond it each token takes notably longer. */
     double headroom { 1.15 }; /**< For the rise until a replica that is ordered now serves. */
-    double ordinaryShare { 0.25 }; /**< Of what is needed, that a reclaim cannot take away. */
-    double reclaimableShare { 1.1 }; /**< Of what is needed, that may be taken away a domain at a time. */
-    uint32_t fewestOrdinary { 4 };
+    /** What callers lose in a second in which a needed replica is missing, in prices of an ordinary replica. */
+    double missingCost { 8.0 };
+    /** Share of the time in which the reclaimable replicas of one domain are gone and not replaced yet. */
+    double reclaimedShare { 0.1 };
+    double surge { 2.0 }; /**< Need in the moments of a sudden rise, over the usual need. */
+    double surgeShare { 0.1 }; /**< Share of the time that such moments take. */
 };
 
 /** Wanted replicas of one failure domain. */
@@ -56,10 +60,18 @@
 uint32_t replicasNeeded(const FleetDemand&, const FleetLimits&, const FleetPlanOptions&);
 
 /**
- * Deals the replicas that are needed over the failure domains: ordinary ones to the cheapest, reclaimable ones evenly, since
- * they leave a domain at a time. Where no reclaimable ones are available, ordinary ones take their place. Each domain keeps its minimum, so that it can serve while it is cut off.
+ * Chooses the mix that costs least together with what callers are expected to lose: when one domain's reclaimable replicas leave,
+ * and when the need rises faster than replicas start. Answers loads under which domains are reclaimed one at a time, or have
+ * no reclaimable replicas to offer. Reclaimable replicas are dealt evenly, ordinary ones to the cheapest domains; each domain keeps its
+ * minimum, so that it can serve while it is cut off.
  * @param domains in any order; the result has the same order. Thread safety: reentrant.
  */
 std::vector<DomainOrder> planFleet(uint32_t needed, const std::vector<DomainFleet>& domains, const FleetLimits&, const FleetPlanOptions&);
 
+/**
+ * Lowers orders for reclaimable replicas to the places that ordinary ones do not take yet: an order beyond a domain's places is
+ * filled only in part, and not made good when places become free. @param domains in the order of `orders`. Thread safety: reentrant.
+ */
+void fitPlaces(std::vector<DomainOrder>& orders, const std::vector<DomainFleet>& domains, const FleetLimits&);
+
 } // namespace siskinspread
--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -2,10 +2,79 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace siskinspread {
 
+namespace {
+
+    /** How many reclaimable replicas each domain would have if `each` were ordered where they are available. */
+    std::vector<uint32_t> reclaimableEverywhere(uint32_t each, const std::vector<DomainFleet>& domains)
+    {
+        std::vector<uint32_t> expected;
+        expected.reserve(domains.size());
+        for (const auto& domain : domains) {
+            expected.push_back(domain.reclaimableUnavailable ? std::min(each, domain.reclaimable) : each);
+        }
+        return expected;
+    }
+
+    double shortfall(double need, uint32_t replicas)
+    {
+        return std::max(0.0, need - replicas);
+    }
+
+    /** What the mix costs in a second: its price, and what callers are expected to lose. */
+    double costOf(uint32_t needed, const std::vector<uint32_t>& reclaimable, uint32_t ordinary, double ordinaryPrice, const std::vector<DomainFleet>& domains,
+        double reclaimablePrice, const FleetPlanOptions& options)
+    {
+        const uint32_t all = std::accumulate(reclaimable.begin(), reclaimable.end(), ordinary);
+        const uint32_t largest = *std::max_element(reclaimable.begin(), reclaimable.end());
+        const double usual = 1.0 - options.reclaimedShare - options.surgeShare;
+        const double missing = usual * shortfall(needed, all) + options.reclaimedShare * shortfall(needed, all - largest) + options.surgeShare * shortfall(needed * options.surge, all);
+        double price = ordinary * ordinaryPrice;
+        for (size_t index = 0; index < domains.size(); ++index) {
+            price += reclaimable[index] * domains[index].price * reclaimablePrice;
+        }
+        return price + missing * options.missingCost;
+    }
+
+    std::vector<size_t> cheapestFirst(const std::vector<DomainFleet>& domains)
+    {
+        std::vector<size_t> order(domains.size());
+        std::iota(order.begin(), order.end(), size_t { 0 });
+        std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) { return domains[a].price < domains[b].price; });
+        return order;
+    }
+
+    struct Mix {
+        uint32_t reclaimableEach { 0 }; /**< In each domain. */
+        uint32_t ordinary { 0 }; /**< Over all domains. */
+    };
+
+    Mix cheapestMix(uint32_t needed, const std::vector<DomainFleet>& domains, const FleetLimits& limits, const FleetPlanOptions& options)
+    {
+        const double ordinaryPrice = domains[cheapestFirst(domains).front()].price;
+        const auto mostOrdinary = static_cast<uint32_t>(std::ceil(needed * std::max(1.0, options.surge)));
+        const uint32_t mostReclaimable = limits.reclaimablePrice ? limits.maxPerDomain : 0;
+        Mix best;
+        double lowest = std::numeric_limits<double>::infinity();
+        for (uint32_t each = 0; each <= mostReclaimable; ++each) {
+            const auto reclaimable = reclaimableEverywhere(each, domains);
+            for (uint32_t ordinary = 0; ordinary <= mostOrdinary; ++ordinary) {
+                const double cost = costOf(needed, reclaimable, ordinary, ordinaryPrice, domains, limits.reclaimablePrice.value_or(1.0), options);
+                if (cost < lowest) {
+                    lowest = cost;
+                    best = { .reclaimableEach = each, .ordinary = ordinary };
+                }
+            }
+        }
+        return best;
+    }
+
+} // namespace
+
 uint32_t replicasNeeded(const FleetDemand& demand, const FleetLimits& limits, const FleetPlanOptions& options)
 {
     const double byPrompts = demand.promptTokensPerSecond / (options.promptTokensPerSecond * options.promptShare);
@@ -17,48 +86,22 @@
 {
     std::vector<DomainOrder> orders;
     orders.reserve(domains.size());
-    for (const auto& domain : domains) {
-        orders.push_back({ .domain = domain.domain });
-    }
     if (domains.empty()) {
         return orders;
     }
-    uint32_t expected = 0; // reclaimable replicas that will be there
-    const bool reclaimableOffered = limits.reclaimablePrice.has_value() && *limits.reclaimablePrice < 1.0;
-    if (reclaimableOffered) {
-        const auto wanted = static_cast<uint32_t>(std::ceil(needed * options.reclaimableShare));
-        const auto each = static_cast<uint32_t>((wanted + domains.size() - 1) / domains.size());
-        for (size_t index = 0; index < orders.size(); ++index) {
-            auto& order = orders[index];
-            // One place is left for the ordinary replica that each domain has.
-            order.reclaimable = std::min(limits.maxPerDomain - std::min(limits.maxPerDomain, 1U), std::max(1U, each));
-            if (domains[index].reclaimableUnavailable) {
-                // One more than there are finds out when there are some again, and leaves its place to ordinary ones.
-                expected += std::min(order.reclaimable, domains[index].reclaimable);
-                order.reclaimable = std::min(order.reclaimable, domains[index].reclaimable + 1);
-            } else {
-                expected += order.reclaimable;
-            }
-        }
-    }
-    const double share = reclaimableOffered ? options.ordinaryShare : 1.0;
-    auto ordinary = std::max({ options.fewestOrdinary, static_cast<uint32_t>(std::ceil(needed * share)), needed - std::min(needed, expected) });
-    std::vector<size_t> byPrice(domains.size());
-    std::iota(byPrice.begin(), byPrice.end(), size_t { 0 });
-    std::stable_sort(byPrice.begin(), byPrice.end(), [&](size_t a, size_t b) { return domains[a].price < domains[b].price; });
-    // One ordinary replica everywhere first: a domain that is cut off while its reclaimable ones leave can still serve.
-    for (size_t index : byPrice) {
-        if (ordinary > 0 && limits.maxPerDomain > 0) {
-            orders[index].ordinary = 1;
-            --ordinary;
+    auto [each, ordinary] = cheapestMix(needed, domains, limits, options);
+    for (const auto& domain : domains) {
+        auto& order = orders.emplace_back(DomainOrder { .domain = domain.domain });
+        if (limits.reclaimablePrice) {
+            // One more than there are finds out when there are some again, and leaves its place to ordinary ones.
+            const uint32_t wanted = domain.reclaimableUnavailable ? std::min(std::max(each, 1U), domain.reclaimable + 1) : each;
+            order.reclaimable = std::min(limits.maxPerDomain, wanted);
         }
     }
-    for (size_t index : byPrice) {
+    for (const size_t index : cheapestFirst(domains)) {
         auto& order = orders[index];
-        const uint32_t most = limits.maxPerDomain - std::min(limits.maxPerDomain, order.reclaimable);
-        const uint32_t more = std::min(ordinary, most - std::min(most, order.ordinary));
-        order.ordinary += more;
-        ordinary -= more;
+        order.ordinary = std::min(ordinary, limits.maxPerDomain - order.reclaimable);
+        ordinary -= order.ordinary;
     }
     for (auto& order : orders) {
         if (order.ordinary + order.reclaimable < limits.minPerDomain) {
@@ -68,4 +111,12 @@
     return orders;
 }
 
+void fitPlaces(std::vector<DomainOrder>& orders, const std::vector<DomainFleet>& domains, const FleetLimits& limits)
+{
+    for (size_t index = 0; index < orders.size(); ++index) {
+        const uint32_t taken = std::max(orders[index].ordinary, domains[index].ordinary);
+        orders[index].reclaimable = std::min(orders[index].reclaimable, limits.maxPerDomain - std::min(limits.maxPerDomain, taken));
+    }
+}
+
 } // namespace siskinspread
--- a/packages/forwarding/src/FleetOrders.cpp
+++ b/packages/forwarding/src/FleetOrders.cpp
@@ -60,11 +60,12 @@
     std::vector<DomainFleet> domains;
     for (const auto& [domain, price] : fleet.domainPrices) {
         const OrderKey reclaimable { .service = service.name, .domain = domain, .reclaimable = true };
-        domains.push_back({ .domain = domain, .price = price, .reclaimable = servingAt(reclaimable), .reclaimableUnavailable = m_orders[reclaimable].unavailable });
+        domains.push_back({ .domain = domain, .price = price, .reclaimable = servingAt(reclaimable), .ordinary = servingAt({ .service = service.name, .domain = domain, .reclaimable = false }), .reclaimableUnavailable = m_orders[reclaimable].unavailable });
     }
     std::sort(domains.begin(), domains.end(), [](const DomainFleet& a, const DomainFleet& b) { return a.domain < b.domain; });
     auto orders = planFleet(known->second, domains, limits, m_fleetOptions);
     keepUntilReplaced(service.name, known->second, orders);
+    fitPlaces(orders, domains, limits);
     for (const auto& wantedThere : orders) {
         order({ .service = service.name, .domain = wantedThere.domain, .reclaimable = false }, wantedThere.ordinary, now);
         if (limits.reclaimablePrice) {
