Let callers wait for the first configuration, and ask a lost store for an answer at once

Change: connections wait in the listener's queue for 400 ms at most until the host is ready; a feed that lost the store asks without waiting.

--- a/packages/forwarding/include/siskinspread/ForwardingSettings.h
+++ b/packages/forwarding/include/siskinspread/ForwardingSettings.h
@@ -46,6 +46,8 @@
     bool ordersReplicas { false };
     size_t maxDescriptors { 1024 };
     size_t memoryBytes { 256U << 20 };
+    /** After a start callers wait this long for the first configuration before they are refused: a read of the store takes some 30 ms. */
+    std::chrono::milliseconds startPatience { 400 };
     DeploymentBounds bounds;
 };
 
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -68,7 +68,7 @@
         waitForSignal();
         m_store.start();
         m_registry.start();
-        m_callers.start();
+        m_startedAt = std::chrono::steady_clock::now();
         tick();
         m_context.run();
         m_calls.stop();
@@ -110,6 +110,10 @@
             m_ready.store(ready, std::memory_order_relaxed);
             m_log.info("readiness changed", { { "ready", ready } });
         }
+        if (!m_takesCallers && (ready || now - m_startedAt >= m_settings.startPatience)) {
+            m_takesCallers = true;
+            m_callers.start();
+        }
         if (now - m_sweptAt > sweepInterval) {
             m_sweptAt = now;
             m_callers.checkTimes(now);
@@ -191,8 +195,10 @@
     asio::signal_set m_signals;
     std::unique_ptr<HttpServer> m_readiness;
     std::atomic<bool> m_ready { false };
+    MonotonicTime m_startedAt {};
     MonotonicTime m_sweptAt {};
     MonotonicTime m_stopAt {};
+    bool m_takesCallers { false }; /**< Until then their connections wait in the listener's queue. */
     bool m_stopping { false };
     bool m_cutOff { false }; /**< The proof that keys are current grows old; callers are sent elsewhere before it ends. */
 };
--- a/packages/forwarding/src/StoreFeed.cpp
+++ b/packages/forwarding/src/StoreFeed.cpp
@@ -72,7 +72,9 @@
 void StoreFeed::watch()
 {
     const auto askedAt = BootClock::now();
-    m_calls.start(m_options.purpose, m_adapter.watchDocuments(m_options.collection, *m_asOf, m_options.watchWait), [this, askedAt](const TransferEnded& ended) { onWatched(ended, askedAt); });
+    // A store that was lost is asked for an answer at once: it shows that the store is back, and that this host is current.
+    const auto wait = m_reachable ? m_options.watchWait : std::chrono::milliseconds { 0 };
+    m_calls.start(m_options.purpose, m_adapter.watchDocuments(m_options.collection, *m_asOf, wait), [this, askedAt](const TransferEnded& ended) { onWatched(ended, askedAt); });
 }
 
 void StoreFeed::onWatched(const TransferEnded& ended, BootTime askedAt)
