--- a/packages/decisions/include/siskinspread/ReplicaPlacement.h
+++ b/packages/decisions/include/siskinspread/ReplicaPlacement.h
@@ -48,6 +48,7 @@
     std::chrono::microseconds batchCost { 500 }; /**< Delay of a first token for each request that is already in the batch. */
     std::chrono::microseconds otherDomainCost { 2000 }; /**< Round trip to another failure domain. */
     double readAgainWeight { 2.0 }; /**< How much more an unread token weighs than its own reading time: others wait as well. */
+    std::chrono::microseconds crowdedQueue { 200000 }; /**< Mean queue that doubles that weight: where reading lacks, it delays more of them. */
     double evenness { 0.15 }; /**< Candidates within this share of the best cost are as good as each other. */
 };
 
@@ -58,7 +59,8 @@
 struct Placement {
     size_t index { 0 };
     std::chrono::microseconds predictedWait { 0 }; /**< Until the first token. */
-    std::chrono::microseconds queueAhead { 0 }; /**< Of it, for the prompts that the replica already has. */
+    std::chrono::microseconds queueAhead { 0 }; /**< Of the predicted wait, for the prompts that the replica already has. */
+    std::chrono::microseconds meanQueue { 0 }; /**< The same over all candidates: what a choice from old reports finds in the mean. */
     uint32_t unreadTokens { 0 }; /**< Of this request, that the replica has to compute. */
 };
 
--- a/packages/decisions/src/EngineAdmission.cpp
+++ b/packages/decisions/src/EngineAdmission.cpp
@@ -6,8 +6,10 @@
 
 EngineVerdict admitToEngine(const EngineRequest& request, const EngineAdmissionOptions& options)
 {
-    const auto limit = request.urgency == 0 ? options.urgentQueueLimit : options.queueLimit;
-    if (request.queueAhead <= limit) {
+    const auto left = request.target - request.waited;
+    const double share = request.urgency == 0 ? options.urgentShare : options.usualShare;
+    const auto predicted = request.queueAhead + request.ownReading;
+    if (static_cast<double>(predicted.count()) <= static_cast<double>(left.count()) * share) {
         return EngineVerdict::Send;
     }
     // Until then an engine that becomes free could still answer in time.
--- a/packages/decisions/src/ReplicaPlacement.cpp
+++ b/packages/decisions/src/ReplicaPlacement.cpp
@@ -40,9 +40,19 @@
         return best;
     }
 
-    double costOf(const PlacementCandidate& candidate, uint32_t unread, const PlacementOptions& options)
+    /** Time for a replica to read the prompts that it has, as a mean over the candidates. */
+    double meanQueueUs(std::span<const PlacementCandidate> candidates, const PlacementOptions& options)
     {
-        double readingUs = (static_cast<double>(candidate.load.unreadTokens) + unread * options.readAgainWeight) / options.promptTokensPerMs * 1000.0;
+        double sum = 0;
+        for (const auto& candidate : candidates) {
+            sum += static_cast<double>(candidate.load.unreadTokens) / options.promptTokensPerMs * 1000.0 * candidate.slowness;
+        }
+        return candidates.empty() ? 0.0 : sum / static_cast<double>(candidates.size());
+    }
+
+    double costOf(const PlacementCandidate& candidate, uint32_t unread, double readAgainWeight, const PlacementOptions& options)
+    {
+        double readingUs = (static_cast<double>(candidate.load.unreadTokens) + unread * readAgainWeight) / options.promptTokensPerMs * 1000.0;
         double batchUs = static_cast<double>(candidate.load.requests * options.batchCost.count());
         double awayUs = candidate.sameDomain ? 0.0 : static_cast<double>(options.otherDomainCost.count());
         return (readingUs + batchUs) * candidate.slowness + awayUs;
@@ -74,6 +84,8 @@
     const auto home = homeOf(request.prompt, candidates);
     std::vector<double> costs(candidates.size(), std::numeric_limits<double>::infinity());
     std::vector<uint32_t> unread(candidates.size(), whole);
+    const double meanUs = meanQueueUs(candidates, options);
+    const double readAgainWeight = options.readAgainWeight * (1.0 + meanUs / static_cast<double>(options.crowdedQueue.count()));
     double best = std::numeric_limits<double>::infinity();
     for (size_t index = 0; index < candidates.size(); ++index) {
         const auto& candidate = candidates[index];
@@ -82,7 +94,7 @@
         }
         uint32_t resident = home == index ? std::max(candidate.residentTokens, whole - own) : candidate.residentTokens;
         unread[index] = whole - std::min(whole, resident);
-        costs[index] = costOf(candidate, unread[index], options);
+        costs[index] = costOf(candidate, unread[index], readAgainWeight, options);
         best = std::min(best, costs[index]);
     }
     if (best == std::numeric_limits<double>::infinity()) {
@@ -103,6 +115,7 @@
     return Placement { .index = chosen,
         .predictedWait = std::chrono::microseconds { static_cast<int64_t>(waitUs) },
         .queueAhead = std::chrono::microseconds { static_cast<int64_t>(aheadUs) },
+        .meanQueue = std::chrono::microseconds { static_cast<int64_t>(meanUs) },
         .unreadTokens = unread[chosen] };
 }
 
