--- a/packages/decisions/src/ReplicaPlacement.cpp
+++ b/packages/decisions/src/ReplicaPlacement.cpp
@@ -2,18 +2,16 @@
 
 #include <algorithm>
 #include <limits>
+#include <xxhash.h>
 
 namespace siskinspread {
 
 namespace {
 
-    /** Spreads the bits of two identities over a rank that all hosts compute alike (rendezvous hashing, D. Thaler and C. Ravishankar, 1998). */
+    /** A rank that all hosts compute alike (rendezvous hashing, D. Thaler and C. Ravishankar, 1998). */
     uint64_t rendezvousRank(uint64_t part, uint64_t replica)
     {
-        uint64_t mixed = part * 0x9E3779B97F4A7C15ULL ^ replica;
-        mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
-        mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBULL;
-        return mixed ^ (mixed >> 31);
+        return XXH64(&replica, sizeof replica, part);
     }
 
     /** The part that identifies the session: the last one that other requests share. */
