--- a/packages/ctl/include/siskinspread/CommandLine.h
+++ b/packages/ctl/include/siskinspread/CommandLine.h
@@ -64,13 +64,20 @@
     std::chrono::seconds waitTimeout { 0 };
 };
 
+/** `siskinctl losses [--late MS] FILE...` */
+struct LossesArguments {
+    CommonArguments common;
+    std::vector<std::string> files; /**< Log lines of hosts; "-" is the standard input. */
+    std::chrono::milliseconds late { 0 }; /**< First bytes after this count as late. */
+};
+
 /** A text to print in place of running a command: help or version. */
 struct ShowText {
     std::string text;
 };
 
 /** What a command line asks for. */
-using Command = std::variant<ShowText, CheckArguments, PublishArguments, StatusArguments, AccountArguments, DrainArguments>;
+using Command = std::variant<ShowText, CheckArguments, PublishArguments, StatusArguments, AccountArguments, DrainArguments, LossesArguments>;
 
 /**
  * @param arguments the words after the program's name.
--- a/packages/ctl/include/siskinspread/Presentation.h
+++ b/packages/ctl/include/siskinspread/Presentation.h
@@ -3,6 +3,7 @@
 #include "siskinspread/Accounts.h"
 #include "siskinspread/LastReason.h"
 #include "siskinspread/OperatorReports.h"
+#include "siskinspread/RequestLosses.h"
 
 #include <string>
 
@@ -17,6 +18,7 @@
 std::string presentText(const SystemStatus& status);
 std::string presentText(const AccountAnswer& answer);
 std::string presentText(const DrainReport& report);
+std::string presentText(const LossReport& report);
 std::string presentText(const LastReason& reason);
 
 std::string presentJson(const CheckReport& report);
@@ -24,6 +26,7 @@
 std::string presentJson(const SystemStatus& status);
 std::string presentJson(const AccountAnswer& answer);
 std::string presentJson(const DrainReport& report);
+std::string presentJson(const LossReport& report);
 std::string presentJson(const LastReason& reason);
 
 } // namespace siskinspread
--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    constexpr int64_t defaultLateMs = 600; // the middle target of the users' streams
+
     using ParseCommand = std::optional<Command> (*)(const Words&, LastReason&);
 
     struct CommandInfo {
@@ -138,11 +140,27 @@
         });
     }
 
+    std::optional<Command> parseLosses(const Words& words, LastReason& reason)
+    {
+        CommandSyntax syntax { .usage = "siskinctl losses [OPTION]... FILE...",
+            .summary = "Counts by cause, from hosts' log lines, the requests that were not served or were served late. FILE \"-\" is the standard input.",
+            .positional = "FILE" };
+        syntax.options.add_options()("late", po::value<int64_t>()->default_value(defaultLateMs)->value_name("MS"), "first bytes after this time count as late");
+        return finish<LossesArguments>(parseWords(syntax, words, reason), syntax, reason, [&](const po::variables_map& values) -> std::optional<LossesArguments> {
+            LossesArguments arguments { .common = {}, .files = wordsOf(values, "FILE"), .late = std::chrono::milliseconds { values["late"].as<int64_t>() } };
+            if (arguments.files.empty() || arguments.late.count() < 1) {
+                return fail(reason, ResultCode::MalformedRequest, "losses needs at least one file of log lines, and --late above zero");
+            }
+            return arguments;
+        });
+    }
+
     constexpr std::array commands {
         CommandInfo { "check", "check service files and settings without sending them anywhere", parseCheck },
         CommandInfo { "publish", "make service files the configuration in force", parsePublish },
         CommandInfo { "status", "show configuration, entry hosts and backend servers", parseStatus },
         CommandInfo { "account", "show what became of one request", parseAccount },
+        CommandInfo { "losses", "count by cause, from log lines, what callers lost", parseLosses },
         CommandInfo { "drain", "ask an entry host for a planned stop", parseDrain },
     };
 
--- a/packages/ctl/src/PresentJson.cpp
+++ b/packages/ctl/src/PresentJson.cpp
@@ -159,6 +159,15 @@
         { "open_requests", report.openRequests }, { "grace_left_ms", report.graceLeft.count() } });
 }
 
+std::string presentJson(const LossReport& report)
+{
+    Json rows = Json::array();
+    for (const LossRow& row : report.rows) {
+        rows.push_back({ { "result", row.result }, { "run", row.run }, { "why", row.why }, { "requests", row.requests }, { "first_at", row.firstAt }, { "last_at", row.lastAt }, { "example", row.example } });
+    }
+    return asLine({ { "answered", report.answered }, { "in_time", report.inTime }, { "unreadable_lines", report.unreadable }, { "lines_left_out", report.leftOut }, { "losses", std::move(rows) } });
+}
+
 std::string presentJson(const LastReason& reason)
 {
     return asLine({ { "error", { { "result_code", static_cast<int>(reason.code) }, { "result", resultInfo(reason.code).name }, { "detail", reason.detail } } } });
--- a/packages/ctl/src/PresentText.cpp
+++ b/packages/ctl/src/PresentText.cpp
@@ -140,6 +140,18 @@
     return fmt::format("{} {}; {} left, for at most {} ms\n", report.name, begin, plural(report.openRequests, "open request"), report.graceLeft.count());
 }
 
+std::string presentText(const LossReport& report)
+{
+    std::string text = fmt::format("{} answered, {} in time\n", plural(report.answered, "request"), report.inTime);
+    if (report.unreadable > 0 || report.leftOut > 0) {
+        text += fmt::format("{} unreadable, {} left out by the hosts: the counts are too low\n", plural(report.unreadable, "line"), report.leftOut);
+    }
+    for (const LossRow& row : report.rows) {
+        text += fmt::format("{:>8}  {}: {}{}\n{:>8}  {} to {}, first {}\n", row.requests, row.result, row.why, row.run.empty() ? "" : " (" + row.run + ")", "", row.firstAt, row.lastAt, row.example);
+    }
+    return text;
+}
+
 std::string presentText(const LastReason& reason)
 {
     return fmt::format("siskinctl: {} ({})\n", reason.detail, describeResult(reason.code));
--- a/packages/ctl/src/RunCommand.cpp
+++ b/packages/ctl/src/RunCommand.cpp
@@ -5,6 +5,8 @@
 #include "siskinspread/SettingsFile.h"
 
 #include <algorithm>
+#include <fstream>
+#include <iostream>
 #include <ostream>
 
 namespace siskinspread {
@@ -72,6 +74,24 @@
             return report && arguments.wait && !report->hasEnded ? ExitCode::NotYet : code;
         }
 
+        ExitCode operator()(const LossesArguments& arguments)
+        {
+            RequestLosses losses { { .late = arguments.late } };
+            for (const std::string& name : arguments.files) {
+                if (name == "-") {
+                    losses.read(std::cin);
+                    continue;
+                }
+                std::ifstream file { name };
+                if (!file) {
+                    return showError({ .code = ResultCode::MalformedRequest, .detail = "cannot read " + name }, arguments.common);
+                }
+                losses.read(file);
+            }
+            show(losses.report(), arguments.common);
+            return ExitCode::Success;
+        }
+
         template <typename Report>
         void show(const Report& report, const CommonArguments& common)
         {
--- a/packages/ctl/tests/RunCommandTest.cpp
+++ b/packages/ctl/tests/RunCommandTest.cpp
@@ -50,7 +50,7 @@
     CHECK(run({ "--version" }).output.starts_with("siskinctl 0."));
     const Outcome help = run({ "--help" });
     CHECK(help.code == ExitCode::Success);
-    for (const std::string command : { "check", "publish", "status", "account", "drain" }) {
+    for (const std::string command : { "check", "publish", "status", "account", "losses", "drain" }) {
         CHECK(help.output.find("\n  " + command + " ") != std::string::npos);
         const Outcome commandHelp = run({ command, "--help" });
         CHECK(commandHelp.code == ExitCode::Success);
