--- a/packages/decisions/include/siskinspread/EngineAdmission.h
+++ b/packages/decisions/include/siskinspread/EngineAdmission.h
@@ -26,6 +26,8 @@
     /** Part of what is left of the target that the predicted time to the first token may take; the rest is for what other hosts send meanwhile. */
     double usualShare { 0.75 };
     double urgentShare { 0.9 }; /**< For the most urgent requests, for which the others leave room. */
+    /** Queue that a request is always added to: one whose own prompt takes most of its target gains nothing by waiting here. */
+    std::chrono::microseconds shortQueue { 100000 };
     std::chrono::microseconds sparseQueueLimit { 1000000 }; /**< While places are free: a refusal would leave them idle. */
 };
 
--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -41,10 +41,10 @@
     double slotShare { 0.4 }; /**< Of the slots that may be used: beyond it each token takes notably longer. */
     double headroom { 1.15 }; /**< For the rise until a replica that is ordered now serves. */
     /** What callers lose in a second in which a needed replica is missing, in prices of an ordinary replica. */
-    double missingCost { 8.0 };
+    double missingCost { 4.0 };
     /** Share of the time in which the reclaimable replicas of one domain are gone and not replaced yet. */
     double reclaimedShare { 0.1 };
-    double surge { 2.0 }; /**< Need in the moments of a sudden rise, over the usual need. */
+    double surge { 2.5 }; /**< Need in the moments of a sudden rise, over the usual need. */
     double surgeShare { 0.1 }; /**< Share of the time that such moments take. */
 };
 
--- a/packages/decisions/src/EngineAdmission.cpp
+++ b/packages/decisions/src/EngineAdmission.cpp
@@ -6,10 +6,9 @@
 
 EngineVerdict admitToEngine(const EngineRequest& request, const EngineAdmissionOptions& options)
 {
-    const auto left = request.target - request.waited;
     const double share = request.urgency == 0 ? options.urgentShare : options.usualShare;
-    const auto predicted = request.queueAhead + request.ownReading;
-    if (static_cast<double>(predicted.count()) <= static_cast<double>(left.count()) * share) {
+    const std::chrono::microseconds room { static_cast<int64_t>(static_cast<double>((request.target - request.waited).count()) * share) - request.ownReading.count() };
+    if (request.queueAhead <= std::max(room, options.shortQueue)) {
         return EngineVerdict::Send;
     }
     // Until then an engine that becomes free could still answer in time.
--- a/packages/decisions/tests/EngineAdmissionTest.cpp
+++ b/packages/decisions/tests/EngineAdmissionTest.cpp
@@ -138,6 +138,12 @@
     request.placesFree = true;
     CHECK(admitToEngine(request, options) == EngineVerdict::Send);
     request.placesFree = false;
+    request.ownReading = milliseconds { 900 };
+    request.queueAhead = options.shortQueue;
+    request.waited = milliseconds { 0 };
+    CHECK(admitToEngine(request, options) == EngineVerdict::Send);
+    request.queueAhead = milliseconds { 275 } + microseconds { 1 };
+    request.ownReading = milliseconds { 100 };
     request.waited = milliseconds { 80 };
     CHECK(admitToEngine(request, options) == EngineVerdict::Hold);
     request.urgency = 0;
