Sum the reclaimable part of a mix once, not for each number of ordinary replicas

No change of the plan. At the target (80 places in 8 domains, a need of 670) each plan tried 80 x 1,675 mixes with a pass over all domains for each; now the inner loop is a few operations. FleetPlanTest and EngineAdmissionTest pass.

--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -42,10 +42,10 @@
     double headroom { 1.15 }; /**< For the rise until a replica that is ordered now serves. */
     /** What callers lose in a second in which a needed replica is missing, in prices of an ordinary replica. */
     double missingCost { 4.0 };
-    /** Share of the time in which the reclaimable replicas of one domain are gone and not replaced yet. */
+    /** Share of the time in which the reclaimable replicas of one domain are gone and not replaced yet: two reclaims a minute, 4 s to start. */
     double reclaimedShare { 0.1 };
-    double surge { 2.5 }; /**< Need in the moments of a sudden rise, over the usual need. */
-    double surgeShare { 0.1 }; /**< Share of the time that such moments take. */
+    double surge { 2.5 }; /**< Need during a sudden rise, over the usual need. */
+    double surgeShare { 0.1 }; /**< Share of the time that such rises take. Together with reclaimedShare at most 1. */
 };
 
 /** Wanted replicas of one failure domain. */
--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -9,15 +9,24 @@
 
 namespace {
 
-    /** How many reclaimable replicas each domain would have if `each` were ordered where they are available. */
-    std::vector<uint32_t> reclaimableEverywhere(uint32_t each, const std::vector<DomainFleet>& domains)
+    /** The reclaimable replicas of all domains together. */
+    struct ReclaimablePart {
+        uint32_t replicas { 0 };
+        uint32_t mostInOneDomain { 0 };
+        double price { 0 }; /**< For a second. */
+    };
+
+    /** What is there when `each` are ordered in every domain. */
+    ReclaimablePart reclaimablePart(uint32_t each, const std::vector<DomainFleet>& domains, double priceShare)
     {
-        std::vector<uint32_t> expected;
-        expected.reserve(domains.size());
+        ReclaimablePart part;
         for (const auto& domain : domains) {
-            expected.push_back(domain.reclaimableUnavailable ? std::min(each, domain.reclaimable) : each);
+            const uint32_t expected = domain.reclaimableUnavailable ? std::min(each, domain.reclaimable) : each;
+            part.replicas += expected;
+            part.mostInOneDomain = std::max(part.mostInOneDomain, expected);
+            part.price += expected * domain.price * priceShare;
         }
-        return expected;
+        return part;
     }
 
     double shortfall(double need, uint32_t replicas)
@@ -25,19 +34,13 @@
         return std::max(0.0, need - replicas);
     }
 
-    /** What the mix costs in a second: its price, and what callers are expected to lose. */
-    double costOf(uint32_t needed, const std::vector<uint32_t>& reclaimable, uint32_t ordinary, double ordinaryPrice, const std::vector<DomainFleet>& domains,
-        double reclaimablePrice, const FleetPlanOptions& options)
+    /** @return the replicas that callers lack in the mean over usual times, those after a reclaim and sudden rises. */
+    double expectedShortfall(uint32_t needed, const ReclaimablePart& reclaimable, uint32_t ordinary, const FleetPlanOptions& options)
     {
-        const uint32_t all = std::accumulate(reclaimable.begin(), reclaimable.end(), ordinary);
-        const uint32_t largest = *std::max_element(reclaimable.begin(), reclaimable.end());
-        const double usual = 1.0 - options.reclaimedShare - options.surgeShare;
-        const double missing = usual * shortfall(needed, all) + options.reclaimedShare * shortfall(needed, all - largest) + options.surgeShare * shortfall(needed * options.surge, all);
-        double price = ordinary * ordinaryPrice;
-        for (size_t index = 0; index < domains.size(); ++index) {
-            price += reclaimable[index] * domains[index].price * reclaimablePrice;
-        }
-        return price + missing * options.missingCost;
+        const uint32_t all = reclaimable.replicas + ordinary;
+        const double usualShare = 1.0 - options.reclaimedShare - options.surgeShare;
+        return usualShare * shortfall(needed, all) + options.reclaimedShare * shortfall(needed, all - reclaimable.mostInOneDomain)
+            + options.surgeShare * shortfall(needed * options.surge, all);
     }
 
     std::vector<size_t> cheapestFirst(const std::vector<DomainFleet>& domains)
@@ -61,9 +64,9 @@
         Mix best;
         double lowest = std::numeric_limits<double>::infinity();
         for (uint32_t each = 0; each <= mostReclaimable; ++each) {
-            const auto reclaimable = reclaimableEverywhere(each, domains);
+            const auto reclaimable = reclaimablePart(each, domains, limits.reclaimablePrice.value_or(1.0));
             for (uint32_t ordinary = 0; ordinary <= mostOrdinary; ++ordinary) {
-                const double cost = costOf(needed, reclaimable, ordinary, ordinaryPrice, domains, limits.reclaimablePrice.value_or(1.0), options);
+                const double cost = reclaimable.price + ordinary * ordinaryPrice + options.missingCost * expectedShortfall(needed, reclaimable, ordinary, options);
                 if (cost < lowest) {
                     lowest = cost;
                     best = { .reclaimableEach = each, .ordinary = ordinary };
@@ -91,7 +94,8 @@
     }
     auto [each, ordinary] = cheapestMix(needed, domains, limits, options);
     for (const auto& domain : domains) {
-        auto& order = orders.emplace_back(DomainOrder { .domain = domain.domain });
+        orders.push_back({ .domain = domain.domain });
+        auto& order = orders.back();
         if (limits.reclaimablePrice) {
             // One more than there are finds out when there are some again, and leaves its place to ordinary ones.
             const uint32_t wanted = domain.reclaimableUnavailable ? std::min(std::max(each, 1U), domain.reclaimable + 1) : each;
