--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -40,6 +40,8 @@
     double promptShare { 0.45 }; /**< Of that speed that may be used: the rest goes to the tokens of running requests. */
     double slotShare { 0.4 }; /**< Of the slots that may be used: beyond it each token takes notably longer. */
     double headroom { 1.15 }; /**< For the rise until a replica that is ordered now serves. */
+    /** Part of the need that ordinary replicas always cover: the reclaimable ones of all domains may leave before others have started. */
+    double lastingShare { 0.16 };
     /** What callers lose in a second in which a needed replica is missing, in prices of an ordinary replica. */
     double missingCost { 4.0 };
     /** Share of the time in which the reclaimable replicas of one domain are gone and not replaced yet: two reclaims a minute, 4 s to start. */
--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -54,6 +54,12 @@
         return order;
     }
 
+    /** @return the ordinary replicas that stay whatever is reclaimed. */
+    uint32_t lastingReplicas(uint32_t needed, const FleetPlanOptions& options)
+    {
+        return static_cast<uint32_t>(std::ceil(needed * options.lastingShare));
+    }
+
     struct Mix {
         uint32_t reclaimableEach { 0 }; /**< In each domain. */
         uint32_t ordinary { 0 }; /**< Over all domains. */
@@ -62,13 +68,14 @@
     Mix cheapestMix(uint32_t needed, const std::vector<DomainFleet>& domains, const FleetLimits& limits, const FleetPlanOptions& options)
     {
         const double ordinaryPrice = domains[cheapestFirst(domains).front()].price;
+        const uint32_t fewestOrdinary = lastingReplicas(needed, options);
         const auto mostOrdinary = static_cast<uint32_t>(std::ceil(needed * std::max(1.0, options.surge)));
         const uint32_t mostReclaimable = limits.reclaimablePrice ? limits.maxPerDomain : 0;
         Mix best;
         double lowest = std::numeric_limits<double>::infinity();
         for (uint32_t each = 0; each <= mostReclaimable; ++each) {
             const auto reclaimable = reclaimablePart(each, domains, limits.reclaimablePrice.value_or(1.0));
-            for (uint32_t ordinary = 0; ordinary <= mostOrdinary; ++ordinary) {
+            for (uint32_t ordinary = fewestOrdinary; ordinary <= mostOrdinary; ++ordinary) {
                 const double cost = reclaimable.price + ordinary * ordinaryPrice + options.missingCost * expectedShortfall(needed, reclaimable, ordinary, options);
                 if (cost < lowest) {
                     lowest = cost;
@@ -95,20 +102,31 @@
     if (domains.empty()) {
         return orders;
     }
-    auto [each, ordinary] = cheapestMix(needed, domains, limits, options);
+    const auto mix = cheapestMix(needed, domains, limits, options);
     for (const auto& domain : domains) {
         orders.push_back({ .domain = domain.domain });
-        auto& order = orders.back();
-        if (limits.reclaimablePrice) {
-            // One more than there are finds out when there are some again, and leaves its place to ordinary ones.
-            const uint32_t wanted = domain.reclaimableUnavailable ? std::min(std::max(each, 1U), domain.reclaimable + 1) : each;
-            order.reclaimable = std::min(limits.maxPerDomain, wanted);
-        }
     }
-    for (const size_t index : cheapestFirst(domains)) {
+    const auto byPrice = cheapestFirst(domains);
+    // Those that always last go to different domains, and have their places before reclaimable ones.
+    uint32_t ordinary = mix.ordinary;
+    const uint32_t places = limits.maxPerDomain * static_cast<uint32_t>(domains.size());
+    for (uint32_t lasting = std::min({ lastingReplicas(needed, options), ordinary, places }), turn = 0; lasting > 0; ++turn) {
+        auto& order = orders[byPrice[turn % byPrice.size()]];
+        ++order.ordinary;
+        --ordinary;
+        --lasting;
+    }
+    for (size_t index = 0; index < domains.size() && limits.reclaimablePrice; ++index) {
+        // One more than there are finds out when there are some again, and leaves its place to ordinary ones.
+        const auto& domain = domains[index];
+        const uint32_t wanted = domain.reclaimableUnavailable ? std::min(std::max(mix.reclaimableEach, 1U), domain.reclaimable + 1) : mix.reclaimableEach;
+        orders[index].reclaimable = std::min(limits.maxPerDomain - orders[index].ordinary, wanted);
+    }
+    for (const size_t index : byPrice) {
         auto& order = orders[index];
-        order.ordinary = std::min(ordinary, limits.maxPerDomain - order.reclaimable);
-        ordinary -= order.ordinary;
+        const uint32_t more = std::min(ordinary, limits.maxPerDomain - order.reclaimable - order.ordinary);
+        order.ordinary += more;
+        ordinary -= more;
     }
     for (auto& order : orders) {
         if (order.ordinary + order.reclaimable < limits.minPerDomain) {
