--- a/packages/forwarding/include/siskinspread/PlatformAdapter.h
+++ b/packages/forwarding/include/siskinspread/PlatformAdapter.h
@@ -63,6 +63,8 @@
     std::optional<std::chrono::milliseconds> idleTimeout; /**< After which the replica closes the connection. */
     bool leaving { false }; /**< The replica that answered will end. */
     std::optional<std::chrono::milliseconds> pause; /**< For which the replica wants nothing from this host; above zero, an hour at most. */
+    bool namesLimit { false }; /**< It says how many requests a second the replica takes. */
+    std::optional<double> requestsPerSecond; /**< That limit, over all hosts together; not below zero. Empty: unreadable. */
 };
 
 /** A replica as it registered itself. */
--- a/packages/forwarding/src/ReplicaStates.cpp
+++ b/packages/forwarding/src/ReplicaStates.cpp
@@ -55,6 +55,12 @@
     if (answer.leaving) {
         noteLeaving(replica->identity, "an answer");
     }
+    if (answer.namesLimit && !answer.requestsPerSecond) {
+        m_log.warning("limit of a replica unreadable", { { "replica", replica->entry.instance } });
+    } else if (answer.requestsPerSecond != replica->requestsPerSecond) {
+        replica->requestsPerSecond = answer.requestsPerSecond;
+        m_log.info("limit of a replica changed", { { "replica", replica->entry.instance }, { "per_s", answer.requestsPerSecond.value_or(-1) } });
+    }
     if (answer.pause) {
         const auto until = std::chrono::steady_clock::now() + *answer.pause;
         replica->pausedUntil = std::max(replica->pausedUntil.value_or(until), until);
