Keep to the limits that replicas name, over all hosts and all kinds of calls

Cause: no host read the header, so requests were placed by load alone; and once replicas were suspected of a reclaim, each host's own questions for their state came on top. The class: a resource that all hosts share, bounded without a message between them in time. Change: 3 + L hosts hold an equal share of a limit L, found by rendezvous hashing, the others send the replica nothing; a share counts every call: first requests, repeats, continued streams, moves, questions. Callers that no share reaches in time are refused at once, not run. Hosts tell each other limits and their end with the age of the answer; a limit belongs to the incarnation and outlives its entry; one that ends does so with a signed answer to a request that was sent after the last that named it; holders change when nobody has had an answer for a minute. The soak's replicas name limits, change them and take them away, and its checks hold all hosts to them.

--- a/packages/decisions/tests/WaitOutlookTest.cpp
+++ b/packages/decisions/tests/WaitOutlookTest.cpp
@@ -17,3 +17,13 @@
     CHECK(judgeWait({ .replicas = 2, .accepting = 0, .pauseEndsIn = milliseconds { 151 }, .patienceLeft = milliseconds { 150 } }) == WaitVerdict::AllPaused);
     CHECK(judgeWait({ .replicas = 2, .accepting = 0, .pauseEndsIn = milliseconds { 1 }, .patienceLeft = milliseconds { -20 } }) == WaitVerdict::AllPaused);
 }
+
+TEST_CASE("a request waits for its host's shares of limits unless the requests ahead use them up")
+{
+    CHECK(judgeWait({ .replicas = 2, .limited = 2, .limitedCalls = 2, .ahead = 1, .patienceLeft = milliseconds { 500 } }) == WaitVerdict::Wait);
+    CHECK(judgeWait({ .replicas = 2, .limited = 2, .limitedCalls = 2, .ahead = 2, .patienceLeft = milliseconds { 500 } }) == WaitVerdict::OverLimit);
+    CHECK(judgeWait({ .replicas = 2, .limited = 2, .patienceLeft = milliseconds { 500 } }) == WaitVerdict::OverLimit);
+    CHECK(judgeWait({ .replicas = 2, .accepting = 1, .limited = 1, .ahead = 9, .patienceLeft = milliseconds { 500 } }) == WaitVerdict::Wait);
+    CHECK(judgeWait({ .replicas = 2, .pauseEndsIn = milliseconds { 100 }, .limited = 1, .patienceLeft = milliseconds { 500 } }) == WaitVerdict::Wait);
+    CHECK(judgeWait({ .replicas = 2, .pauseEndsIn = milliseconds { 900 }, .limited = 1, .patienceLeft = milliseconds { 500 } }) == WaitVerdict::OverLimit);
+}
--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "siskinspread/BootClock.h"
 #include "siskinspread/CallerConnection.h"
 #include "siskinspread/EventScanner.h"
 #include "siskinspread/ReplicaCall.h"
@@ -34,6 +35,7 @@
     std::shared_ptr<Replica> replica;
     std::shared_ptr<ReplicaConnection> connection;
     MonotonicTime sentAt;
+    BootTime sentAtBoot;
     std::chrono::microseconds predictedWait { 0 };
     uint32_t unreadTokens { 0 };
     uint64_t heldTokens { 0 };
@@ -113,6 +115,8 @@
     void startMove(std::shared_ptr<Replica> target, MonotonicTime now);
     void onMoved(std::optional<MemoryMoveAnswer>, const LastReason&);
     void continueMoved();
+    /** The source has closed the stream of a run that cannot be carried on. */
+    void endUnmoved(std::string_view why);
 
     /** Answers up to this size are delivered only once they are whole, so that a broken one can still become an error. */
     static constexpr size_t maxWholeBytes = 256U << 10U;
@@ -135,10 +139,12 @@
         std::string memoryFrom; /**< Once answered. */
         MonotonicTime answeredAt {};
         bool sourceEnded { false }; /**< The source has closed the stream: all of its events are here. */
+        bool callCounted { true }; /**< Against the limit of the target. */
     };
     std::optional<Move> m_move;
     std::optional<MonotonicTime> m_moveTriedAt;
     std::string m_memoryFrom; /**< For the next attempt; see ForwardOrder. */
+    bool m_callCounted { false }; /**< The next attempt has been counted against the limit of its replica. */
     bool m_streaming { false };
     bool m_usageCounted { false };
     std::optional<MonotonicTime> m_firstByteAt;
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -7,10 +7,12 @@
 #include "siskinspread/ForwardingMetrics.h"
 #include "siskinspread/ForwardingSettings.h"
 #include "siskinspread/HostLog.h"
+#include "siskinspread/ReplicaLimits.h"
 #include "siskinspread/RetryBudget.h"
 #include "siskinspread/SharedQuota.h"
 #include "siskinspread/TrueTime.h"
 #include "siskinspread/UsageWindows.h"
+#include "siskinspread/WaitOutlook.h"
 
 #include <functional>
 #include <list>
@@ -54,7 +56,7 @@
     void setHostCount(size_t hosts) { m_hosts = std::max<size_t>(1, hosts); }
 
     /** @param silence of a peer after which it is assumed to spend of the customers' limits what others do not know of. */
-    void setPeerSilence(std::chrono::milliseconds silence) { m_quotaOptions.silentAfter = silence; }
+    void setPeerSilence(std::chrono::milliseconds silence);
 
     /** From here on streams are refused: they may last longer than what is left of the grace. Idempotent. */
     void refuseStreams() { m_refusesStreams = true; }
@@ -78,6 +80,7 @@
     void tick(MonotonicTime now);
 
     ReplicaDirectory& replicas() { return m_replicas; }
+    ReplicaLimits& limits() { return m_limits; }
     UsageWindows& usage() { return m_usage; }
     size_t openExchanges() const { return m_open.size(); }
     size_t waitingExchanges() const { return m_waiting.size(); }
@@ -106,6 +109,10 @@
     bool isServing(const Replica&) const;
     /** Takes in what an answer says of the replica itself, whatever it answers. */
     void noteAnswer(const std::shared_ptr<Replica>&, const ReplicaAnswer&);
+    /** An answer of the replica names no limit. @param sentAt when its request was sent. */
+    void noteUnlimited(const Replica&, BootTime sentAt);
+    /** Another host tells what it knows of a replica's limit. @param source for the log. */
+    void noteLimit(uint64_t identity, const LimitEvidence&, std::string_view source);
     /** An incarnation leaves, as it or a peer has said; it is sent nothing new. @param source for the log. */
     void noteLeaving(uint64_t identity, std::string_view source);
     /** Asks a replica whether and when it leaves, unless it was asked lately. */
@@ -126,7 +133,10 @@
     void reviewReach(MonotonicTime now);
     void noteState(Replica&, const ReplicaState&, MonotonicTime askedAt);
     std::vector<PlacementCandidate> placementCandidates(const Exchange&, const std::vector<std::shared_ptr<Replica>>&, MonotonicTime now) const;
-    std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now) const;
+    std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now);
+    WaitOutlook outlookFor(const std::shared_ptr<Exchange>&, MonotonicTime now);
+    uint64_t waitingAhead(const std::shared_ptr<Exchange>&) const;
+    void onLimitChanged(uint64_t identity, std::string_view source);
     void refuse(const ReceivedRequest&, std::string_view attemptId, ResultCode, int status, std::chrono::milliseconds retryAfter, std::string_view why);
     std::chrono::milliseconds comeBackAfter(const Exchange&) const;
     static std::chrono::milliseconds spreadOf(const Exchange&);
@@ -143,6 +153,7 @@
     std::shared_ptr<const RoutingTable> m_table;
     std::optional<BootTime> m_provenAt;
     ReplicaDirectory m_replicas;
+    ReplicaLimits m_limits;
     std::unordered_map<std::string, SharedQuota> m_quotas; /**< By customer. */
     std::unordered_map<std::string, RetryBudget> m_retries; /**< By service. */
     std::unordered_map<std::string, ServiceDemand> m_demands; /**< By service. */
--- a/packages/forwarding/include/siskinspread/ForwardingMetrics.h
+++ b/packages/forwarding/include/siskinspread/ForwardingMetrics.h
@@ -35,6 +35,8 @@
     void observeWaiting(std::chrono::microseconds time);
     void setConfigurationVersion(uint64_t version);
     void setReplicas(size_t count);
+    /** @param count of replicas that have named a limit. */
+    void setReplicasLimited(size_t count);
     void setPeers(size_t count);
     void setLogLinesLeftOut(uint64_t lines);
 
--- a/packages/forwarding/include/siskinspread/PeerExchange.h
+++ b/packages/forwarding/include/siskinspread/PeerExchange.h
@@ -28,12 +28,14 @@
     std::string failureDomain;
     uint64_t incarnation { 0 };
     uint64_t sequence { 0 };
+    std::optional<MonotonicTime> listedAt; /**< By the store; it may not have been heard yet. */
     std::optional<MonotonicTime> heardAt;
     std::optional<MonotonicTime> nextAt; /**< When the next message to it is due. */
     std::optional<MonotonicTime> nextNewsAt; /**< When the next one is due that holds only news of the store. */
     KnownRevisions known; /**< Of the store, as it has told. */
     std::optional<MonotonicTime> joinedAt; /**< First message of its incarnation. */
     std::optional<MonotonicTime> wholeSentAt; /**< Last message that held the spending of all customers. */
+    std::optional<MonotonicTime> limitsSentAt; /**< Last message that held all limits of replicas that this host was shown. */
     std::optional<MonotonicTime> usageAt; /**< Last message that held its usage. */
     bool spendingKnown { false }; /**< It has told the spending of all customers. */
     bool wantsUsage { false };
@@ -97,11 +99,15 @@
     void applySpending(PeerHost&, const schema::HostStateMessage&, MonotonicTime now);
     void applyProof(const schema::HostStateMessage&);
     void applyUsage(const schema::HostStateMessage&);
+    void applyLimits(const schema::HostStateMessage&);
     void forgetStopped(const std::string& failureDomain, MonotonicTime now);
     schema::HostStateMessage ownState() const;
     void tellUsage(schema::HostStateMessage&) const;
     void tellSpending(schema::HostStateMessage&, bool whole, MonotonicTime now) const;
     void noteOwnSpending(MonotonicTime now);
+    void tellLimits(schema::HostStateMessage&, bool whole) const;
+    /** Divides replicas' limits among the hosts that may be calling replicas. */
+    void reviewLimits(MonotonicTime now);
     /** @return the state as this peer needs it. */
     schema::HostStateMessage stateFor(PeerHost&, const schema::HostStateMessage& state, MonotonicTime now);
     /** Tells a follower of the same failure domain what is new in the store, more often than the whole state. */
--- a/packages/forwarding/include/siskinspread/ReplicaDirectory.h
+++ b/packages/forwarding/include/siskinspread/ReplicaDirectory.h
@@ -30,7 +30,6 @@
     std::optional<MonotonicTime> stateAskedAt;
     bool leavingByAnswer { false }; /**< An answer said that it leaves, so the store may not know of it. */
     std::optional<MonotonicTime> missingSince; /**< No longer in the store, which had been away. */
-    std::optional<double> requestsPerSecond; /**< Limit over all hosts that its newest answer named. */
     std::optional<MonotonicTime> pausedUntil; /**< It has asked this host to send nothing until then. */
     bool gone { false };
 };
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -59,7 +59,10 @@
 {
     const auto now = std::chrono::steady_clock::now();
     const auto& route = *m_request.route;
-    m_attempt = { .replica = std::move(replica), .sentAt = now, .predictedWait = placement.predictedWait, .unreadTokens = placement.unreadTokens, .heldTokens = tokens() };
+    if (!std::exchange(m_callCounted, false)) {
+        m_forwarder.limits().countCall(replica->identity);
+    }
+    m_attempt = { .replica = std::move(replica), .sentAt = now, .sentAtBoot = BootClock::now(), .predictedWait = placement.predictedWait, .unreadTokens = placement.unreadTokens, .heldTokens = tokens() };
     auto& chosen = *m_attempt.replica;
     chosen.ownLoad.requests += 1;
     chosen.ownLoad.unreadTokens += m_attempt.unreadTokens;
@@ -118,6 +121,9 @@
         breakOffReplica();
         return true;
     }
+    if (!answer.namesLimit && answer.sealed) {
+        m_forwarder.noteUnlimited(*m_attempt.replica, m_attempt.sentAtBoot);
+    }
     if (!answer.notExecuted) {
         noteFirstByte();
     }
--- a/packages/forwarding/src/ExchangeMove.cpp
+++ b/packages/forwarding/src/ExchangeMove.cpp
@@ -53,18 +53,23 @@
     if (!isRunning || m_move || tried || isPaused(*m_attempt.replica, now) || m_request.route->resumable || !isMovable() || !mustMove(now)) {
         return;
     }
+    const auto& source = *m_attempt.replica;
     auto target = m_forwarder.moveTarget(*this);
-    if (target && m_forwarder.claimRetry(m_request.service->name)) {
+    const bool mayOrder = m_forwarder.limits().mayCall(source.identity);
+    if (target && mayOrder && m_forwarder.claimRetry(m_request.service->name)) {
         startMove(std::move(target), now);
         return;
     }
     m_moveTriedAt = now;
-    m_forwarder.log().info("run not moved", { { "attempt", m_request.caller.attemptId }, { "from", m_attempt.replica->entry.instance }, { "why", target ? "the retry budget is used up" : "no replica has a place" } });
+    const auto* why = !target ? "no replica has a place" : (mayOrder ? "the retry budget is used up" : "the limit of its replica");
+    m_forwarder.log().info("run not moved", { { "attempt", m_request.caller.attemptId }, { "from", source.entry.instance }, { "why", why } });
 }
 
 void Exchange::startMove(std::shared_ptr<Replica> target, MonotonicTime now)
 {
     m_moveTriedAt = now;
+    m_forwarder.limits().countCall(m_attempt.replica->identity);
+    m_forwarder.limits().countCall(target->identity); // the run continues there, whatever others send meanwhile
     const auto& source = m_attempt.replica->entry;
     m_forwarder.log().info("run moves", { { "attempt", m_request.caller.attemptId }, { "from", source.instance }, { "to", target->entry.instance }, { "leaves_in_ms", std::chrono::duration_cast<milliseconds>(*m_attempt.replica->leavesAt - now) }, { "after_event", m_events.lastId().value_or(0) } });
     const MemoryMove move { .attemptId = m_request.caller.attemptId,
@@ -98,12 +103,7 @@
         const bool ended = m_move->sourceEnded;
         m_move.reset();
         if (ended) {
-            releaseAttempt(false);
-            if (m_phase == Phase::Answering) {
-                breakStream("the replica broke off and the run was not moved");
-            } else {
-                fail(502, ResultCode::BackendStreamBroken, "the replica broke off, and the request may have run");
-            }
+            endUnmoved("the replica broke off and the run was not moved");
         }
         return;
     }
@@ -111,16 +111,35 @@
     m_move->answeredAt = std::chrono::steady_clock::now();
     if (!answer->copied) {
         m_move->target = m_attempt.replica; // it kept the memory, and goes on for as long as it is there
+        m_move->callCounted = false;
     }
     continueMoved();
 }
 
+void Exchange::endUnmoved(std::string_view why)
+{
+    releaseAttempt(false);
+    if (m_phase == Phase::Answering) {
+        breakStream(why);
+    } else {
+        fail(502, ResultCode::BackendStreamBroken, why);
+    }
+}
+
 /** Goes on once the source has closed the stream, so that no event is lost or comes twice. */
 void Exchange::continueMoved()
 {
-    if (!m_move->sourceEnded || m_move->call || isPaused(*m_move->target, std::chrono::steady_clock::now())) {
+    const auto& target = *m_move->target;
+    if (!m_move->sourceEnded || m_move->call || isPaused(target, std::chrono::steady_clock::now())) {
         return; // looked at again by reviewMove
     }
+    if (!m_move->callCounted && !m_forwarder.limits().mayCall(target.identity)) {
+        if (!m_forwarder.limits().find(target.identity)->holdsShare) {
+            m_move.reset();
+            endUnmoved("the replica that keeps the memory of the run takes no more requests from this host");
+        }
+        return;
+    }
     const auto move = std::move(*m_move);
     m_move.reset();
     if (move.target != m_attempt.replica) {
@@ -129,6 +148,7 @@
     releaseAttempt(false);
     m_events.dropPart();
     m_memoryFrom = move.memoryFrom;
+    m_callCounted = move.callCounted;
     m_forwarder.metrics().countRepeat(RepeatCause::StreamMoved);
     sendTo(move.target, {});
 }
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -44,6 +44,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_time(time)
+    , m_limits(settings.host)
     , m_usage { .length = settings.bounds.reportWindow }
 {
 }
@@ -65,6 +66,12 @@
     m_metrics.setConfigurationVersion(m_table->configuration().version);
 }
 
+void Forwarder::setPeerSilence(milliseconds silence)
+{
+    m_quotaOptions.silentAfter = silence;
+    m_limits.setSettlingTime(silence);
+}
+
 void Forwarder::setProvenAt(BootTime at)
 {
     m_provenAt = std::max(m_provenAt.value_or(at), at);
@@ -287,6 +294,7 @@
         exchange->reviewMove(now);
     }
     m_metrics.setReplicas(m_replicas.all().size());
+    m_metrics.setReplicasLimited(m_limits.namedCount());
     m_metrics.setLogLinesLeftOut(m_log.linesLeftOut());
 }
 
--- a/packages/forwarding/src/ForwardingMetrics.cpp
+++ b/packages/forwarding/src/ForwardingMetrics.cpp
@@ -124,6 +124,11 @@
     m_series->state.Add({ { "what", "replicas" } }).Set(static_cast<double>(count));
 }
 
+void ForwardingMetrics::setReplicasLimited(size_t count)
+{
+    m_series->state.Add({ { "what", "replicas_limited" } }).Set(static_cast<double>(count));
+}
+
 void ForwardingMetrics::setPeers(size_t count)
 {
     m_series->state.Add({ { "what", "peers" } }).Set(static_cast<double>(count));
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -13,6 +13,8 @@
     constexpr milliseconds turnToSilent { 1000 };
     // A host that has been silent this long holds no keys that are current any more: it has lost the store and its peers.
     constexpr milliseconds quietTime { 6000 };
+    // A host keeps its shares of replicas' limits for longer, so that a restart or a few lost messages do not hand them to others.
+    constexpr milliseconds sharesKept { 15000 };
     constexpr milliseconds loadTime { 1500 }; // what a silent peer had at replicas has probably ended, unless it tells more rarely
 
     bool isRecent(const std::optional<MonotonicTime>& at, MonotonicTime now, milliseconds within)
@@ -61,7 +63,11 @@
         m_log.warning("peer left out", { { "peer", host }, { "address", address }, { "why", "no IP address" } });
         return;
     }
-    m_peers[host].endpoint = { ip, port };
+    auto& peer = m_peers[host];
+    peer.endpoint = { ip, port };
+    if (!peer.listedAt) {
+        peer.listedAt = std::chrono::steady_clock::now();
+    }
 }
 
 void PeerExchange::receive()
@@ -131,6 +137,7 @@
         forgetStopped(peer.failureDomain, now);
     }
     applyLoads(state);
+    applyLimits(state);
     applySpending(peer, state, now);
     if (state.tells_usage()) {
         peer.usageAt = now;
@@ -148,6 +155,18 @@
     m_forwarder.placeFreed();
 }
 
+void PeerExchange::applyLimits(const schema::HostStateMessage& state)
+{
+    const auto now = BootClock::now();
+    for (const auto& told : state.limits()) {
+        LimitEvidence evidence { .at = now - milliseconds { told.age_ms() }, .round = told.round() };
+        if (told.has_requests_per_second()) {
+            evidence.requestsPerSecond = told.requests_per_second();
+        }
+        m_forwarder.noteLimit(told.replica(), evidence, state.host());
+    }
+}
+
 void PeerExchange::applySpending(PeerHost& peer, const schema::HostStateMessage& state, MonotonicTime now)
 {
     auto& quotas = m_forwarder.quotas();
@@ -233,6 +252,7 @@
     if (!m_domainsReviewedAt || now - *m_domainsReviewedAt >= domainReviewInterval) {
         m_domainsReviewedAt = now;
         reviewDomains();
+        reviewLimits(now);
     }
 }
 
@@ -263,6 +283,22 @@
     }
 }
 
+void PeerExchange::reviewLimits(MonotonicTime now)
+{
+    std::vector<std::string> hosts;
+    if (!m_stopping) {
+        hosts.push_back(m_settings.host);
+    }
+    for (const auto& [host, peer] : m_peers) {
+        const auto& sign = peer.heardAt ? peer.heardAt : peer.listedAt;
+        if (!peer.stopping && isRecent(sign, now, sharesKept)) {
+            hosts.push_back(host);
+        }
+    }
+    m_forwarder.limits().setHosts(std::move(hosts));
+    m_forwarder.limits().forgetOld();
+}
+
 void PeerExchange::tick(MonotonicTime now)
 {
     if (!m_reviewedAt || now - *m_reviewedAt >= reviewInterval) {
@@ -290,6 +326,7 @@
 void PeerExchange::announceStop()
 {
     m_stopping = true;
+    reviewLimits(std::chrono::steady_clock::now());
     for (auto& [host, peer] : m_peers) {
         peer.nextAt.reset();
     }
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -12,6 +12,10 @@
     // Several messages to each peer tell of a change, so that it is known when some of them are lost.
     constexpr milliseconds spendingToldFor { 3000 };
     constexpr milliseconds wholeSpendingInterval { 5000 }; // heals what was lost all the same
+    // Longer than three turns between 380 hosts. A change is told for so long, so that some of its messages may be lost.
+    constexpr std::chrono::seconds limitToldFor { 12 };
+    constexpr milliseconds wholeLimitsInterval { 15000 };
+    constexpr int maxLimitsTold = 64; // 1.5 KB
     constexpr milliseconds joiningTime { 3000 }; // a new host learns everything from several messages
     // So few hosts tell each other their usage without being asked: four windows of 16 customers add 1.5 KB to a message.
     constexpr size_t fewHosts = 16;
@@ -103,6 +107,22 @@
     }
 }
 
+void PeerExchange::tellLimits(schema::HostStateMessage& state, bool whole) const
+{
+    const auto now = BootClock::now();
+    for (const auto& [identity, limit] : m_forwarder.limits().all()) {
+        if (limit.firstHand && (whole || now - limit.changedAt < limitToldFor) && state.limits_size() < maxLimitsTold) {
+            auto& told = *state.add_limits();
+            told.set_replica(identity);
+            if (limit.evidence->requestsPerSecond) {
+                told.set_requests_per_second(*limit.evidence->requestsPerSecond);
+            }
+            told.set_age_ms(static_cast<uint64_t>(std::max<int64_t>(0, std::chrono::duration_cast<milliseconds>(now - limit.evidence->at).count())));
+            told.set_round(limit.evidence->round);
+        }
+    }
+}
+
 schema::HostStateMessage PeerExchange::stateFor(PeerHost& peer, const schema::HostStateMessage& state, MonotonicTime now)
 {
     auto message = state;
@@ -112,6 +132,11 @@
         peer.wholeSentAt = now;
     }
     tellSpending(message, whole, now);
+    const bool wholeLimits = joining || !peer.limitsSentAt || now - *peer.limitsSentAt >= wholeLimitsInterval;
+    if (wholeLimits) {
+        peer.limitsSentAt = now;
+    }
+    tellLimits(message, wholeLimits);
     if (peer.wantsUsage || m_stopping || m_peers.size() < fewHosts) {
         tellUsage(message);
     }
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -1,8 +1,6 @@
 // The part of Forwarder that places requests and lets them wait.
 #include "siskinspread/Forwarder.h"
 
-#include "siskinspread/WaitOutlook.h"
-
 #include <algorithm>
 
 namespace siskinspread {
@@ -22,13 +20,13 @@
     return !replica.gone && !replica.entry.leaving;
 }
 
-std::vector<std::shared_ptr<Replica>> Forwarder::candidatesFor(const Exchange& exchange, MonotonicTime now) const
+std::vector<std::shared_ptr<Replica>> Forwarder::candidatesFor(const Exchange& exchange, MonotonicTime now)
 {
     std::vector<std::shared_ptr<Replica>> usable;
     std::vector<std::shared_ptr<Replica>> heldOut;
     std::vector<std::shared_ptr<Replica>> doubted;
     for (const auto& replica : m_replicas.ofService(exchange.request().service->name)) {
-        if (!isServing(*replica) || exchange.wasSentTo(replica->identity) || isPaused(*replica, now)) {
+        if (!isServing(*replica) || exchange.wasSentTo(replica->identity) || isPaused(*replica, now) || !m_limits.mayCall(replica->identity)) {
             continue;
         }
         if (m_doubted.contains(replica->entry.failureDomain)) {
@@ -134,27 +132,55 @@
     m_waiting.insert(place, exchange);
 }
 
-bool Forwarder::refuseHopeless(const std::shared_ptr<Exchange>& exchange, MonotonicTime now)
+/** @return the waiting requests for the same service that are sent before this one. */
+uint64_t Forwarder::waitingAhead(const std::shared_ptr<Exchange>& exchange) const
+{
+    uint64_t ahead = 0;
+    for (const auto& other : m_waiting) {
+        if (other == exchange || other->urgency() > exchange->urgency()) {
+            break;
+        }
+        ahead += other->request().service->name == exchange->request().service->name ? 1 : 0;
+    }
+    return ahead;
+}
+
+WaitOutlook Forwarder::outlookFor(const std::shared_ptr<Exchange>& exchange, MonotonicTime now)
 {
+    using std::chrono::microseconds;
     const auto& request = exchange->request();
-    WaitOutlook outlook { .patienceLeft = std::chrono::duration_cast<std::chrono::microseconds>(request.received.startedAt + patienceOf(*exchange) - now) };
+    WaitOutlook outlook { .patienceLeft = std::chrono::duration_cast<microseconds>(request.received.startedAt + patienceOf(*exchange) - now) };
     for (const auto& replica : m_replicas.ofService(request.service->name)) {
         if (!isServing(*replica) || exchange->wasSentTo(replica->identity)) {
             continue;
         }
         outlook.replicas += 1;
-        if (!isPaused(*replica, now)) {
+        const auto pause = isPaused(*replica, now) ? std::chrono::duration_cast<microseconds>(*replica->pausedUntil - now) : microseconds { 0 };
+        if (const auto* limit = m_limits.find(replica->identity); limit != nullptr) {
+            outlook.limited += 1;
+            outlook.limitedCalls += pause < outlook.patienceLeft ? callsWithin(*limit, outlook.patienceLeft, BootClock::now()) : 0;
+        } else if (pause.count() == 0) {
             outlook.accepting += 1;
-        } else if (const auto pause = std::chrono::duration_cast<std::chrono::microseconds>(*replica->pausedUntil - now); !outlook.pauseEndsIn || pause < *outlook.pauseEndsIn) {
-            outlook.pauseEndsIn = pause;
+        } else {
+            outlook.pauseEndsIn = std::min(outlook.pauseEndsIn.value_or(pause), pause);
         }
     }
+    outlook.ahead = outlook.limited > 0 ? waitingAhead(exchange) : 0;
+    return outlook;
+}
+
+bool Forwarder::refuseHopeless(const std::shared_ptr<Exchange>& exchange, MonotonicTime now)
+{
+    const auto outlook = outlookFor(exchange, now);
     switch (judgeWait(outlook)) {
     case WaitVerdict::Wait:
         return false;
     case WaitVerdict::NoReplica:
         exchange->refuse(ResultCode::NoBackendServer, comeBackAfter(*exchange), "the service has no replica that could be sent the request");
         return true;
+    case WaitVerdict::OverLimit:
+        exchange->refuse(ResultCode::PoolFull, comeBackAfter(*exchange), "the replicas take no more requests a second from this host");
+        return true;
     case WaitVerdict::AllPaused:
         break;
     }
--- a/packages/forwarding/src/ReplicaStates.cpp
+++ b/packages/forwarding/src/ReplicaStates.cpp
@@ -50,16 +50,42 @@
     placeFreed(); // what waits for this replica has to go elsewhere, or be refused
 }
 
-void Forwarder::noteAnswer(const std::shared_ptr<Replica>& replica, const ReplicaAnswer& answer)
+void Forwarder::onLimitChanged(uint64_t identity, std::string_view source)
 {
-    if (answer.leaving) {
-        noteLeaving(replica->identity, "an answer");
+    const auto replica = m_replicas.findIdentity(identity);
+    const auto name = replica ? replica->entry.instance : std::to_string(identity); // its entry may not have been read yet
+    if (const auto* limit = m_limits.find(identity); limit != nullptr) {
+        m_log.info("limit of a replica changed", { { "replica", name }, { "per_s", *limit->evidence->requestsPerSecond }, { "told_by", source }, { "holds_share", limit->holdsShare }, { "holders", limit->holders } });
+    } else {
+        m_log.info("limit of a replica ended", { { "replica", name }, { "told_by", source } });
+    }
+    placeFreed(); // what waits for this replica has to go elsewhere, or may go now
+}
+
+void Forwarder::noteLimit(uint64_t identity, const LimitEvidence& evidence, std::string_view source)
+{
+    if (m_limits.noteTold(identity, evidence)) {
+        onLimitChanged(identity, source);
+    }
+}
+
+void Forwarder::noteUnlimited(const Replica& replica, BootTime sentAt)
+{
+    if (m_limits.noteUnnamed(replica.identity, sentAt)) {
+        onLimitChanged(replica.identity, "an answer");
     }
+}
+
+void Forwarder::noteAnswer(const std::shared_ptr<Replica>& replica, const ReplicaAnswer& answer)
+{
     if (answer.namesLimit && !answer.requestsPerSecond) {
         m_log.warning("limit of a replica unreadable", { { "replica", replica->entry.instance } });
-    } else if (answer.requestsPerSecond != replica->requestsPerSecond) {
-        replica->requestsPerSecond = answer.requestsPerSecond;
-        m_log.info("limit of a replica changed", { { "replica", replica->entry.instance }, { "per_s", answer.requestsPerSecond.value_or(-1) } });
+    }
+    if (answer.requestsPerSecond && m_limits.noteNamed(replica->identity, *answer.requestsPerSecond)) {
+        onLimitChanged(replica->identity, "an answer");
+    }
+    if (answer.leaving) {
+        noteLeaving(replica->identity, "an answer");
     }
     if (answer.pause) {
         const auto until = std::chrono::steady_clock::now() + *answer.pause;
@@ -88,6 +114,11 @@
         return;
     }
     replica->stateAskedAt = now;
+    if (!m_limits.mayCall(replica->identity)) {
+        m_log.info("replica not asked", { { "replica", replica->entry.instance }, { "why", "its limit" } });
+        return;
+    }
+    m_limits.countCall(replica->identity);
     const auto& entry = replica->entry;
     std::string bytes;
     m_adapter.encodeStateQuestion(entry, bytes);
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -21,6 +21,7 @@
     constexpr uint64_t requestKinds = 3;
     // Beyond a route's timeout, for a request of a host that runs: scheduling, and a connection that waited to be accepted.
     constexpr milliseconds answerSlack { 2500 };
+    constexpr double limits[] { 0.3, 1.0, 2.5, 8.0 }; // requests a second that a replica may name
     constexpr LinkFault linkFaults[] { LinkFault::Delay, LinkFault::LoseAnswers, LinkFault::Silence };
 
     json routeOf(const char* name, const char* kind, int attempts, const SoakBounds& bounds)
@@ -108,12 +109,14 @@
     case 0:
         tell("kill " + side.host->name());
         side.host->signal(SIGKILL);
+        m_ledger.disturbed[side.host->name()].push_back({ .from = now, .until = now + delay });
         side.startAt = now + delay;
         break;
     case 1:
         tell("stop " + side.host->name());
         side.host->signal(SIGTERM);
         side.stopBefore = side.stopBefore ? side.stopBefore : now + m_bounds.stopGrace;
+        m_ledger.disturbed[side.host->name()].push_back({ .from = now, .until = now + m_bounds.stopGrace });
         side.startAt = now + delay;
         break;
     case 2:
@@ -122,6 +125,7 @@
         break;
     case 3:
         side.resumeAt = now + drawTime(100, 2500);
+        m_ledger.disturbed[side.host->name()].push_back({ .from = now, .until = *side.resumeAt });
         tell("pause " + side.host->name());
         side.host->pause();
         break;
@@ -141,7 +145,7 @@
 void Soak::faultOnReplica(Behind& behind)
 {
     const auto fault = draw(std::size(linkFaults));
-    switch (draw(5)) {
+    switch (draw(6)) {
     case 0:
         tell("replica link fault " + std::to_string(fault) + " " + behind.entry);
         behind.link->setFault(linkFaults[fault]);
@@ -156,7 +160,13 @@
         behind.replica->setLosesAnswers(true);
         later(drawTime(200, 1500), [&behind] { behind.replica->setLosesAnswers(false); });
         break;
-    case 3:
+    case 3: {
+        const auto limit = draw(3) == 0 ? std::nullopt : std::optional { limits[draw(std::size(limits))] };
+        tell("limit of " + behind.entry + " " + (limit ? std::to_string(*limit) : "ends"));
+        behind.replica->setLimit(limit);
+        break;
+    }
+    case 4:
         tell("replica starts again " + behind.entry);
         behind.link->resetAll();
         behind.replica->restart("i-" + std::to_string(++m_lastInstance));
@@ -254,6 +264,7 @@
     }
     if (!side.host->isRunning() && side.startAt && now >= *side.startAt) {
         side.host->start();
+        m_ledger.disturbed[side.host->name()].push_back({ .from = now, .until = now });
         side.startAt.reset();
     }
 }
@@ -301,6 +312,7 @@
     for (auto& behind : m_replicas) {
         behind.link->setFault(LinkFault::None);
         behind.replica->setLosesAnswers(false);
+        behind.replica->setLimit(std::nullopt);
     }
     m_platform.busy = false;
     m_platform.silent = false;
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -56,6 +56,9 @@
     if (attempt.sealed && findHeader(head.headers, "X-Attempt-Id").value_or("") != m_current) {
         m_ledger.problems.push_back(m_current + ": the answer names another request");
     }
+    if (const auto instance = findHeader(head.headers, "X-Replica-Id"); instance && findHeader(head.headers, "Server-Limit")) {
+        m_ledger.replicas[std::string { *instance }].told.try_emplace(m_hostName, std::chrono::steady_clock::now());
+    }
     return true;
 }
 
--- a/tests/soak/SoakLedger.cpp
+++ b/tests/soak/SoakLedger.cpp
@@ -1,5 +1,7 @@
 #include "SoakLedger.h"
 
+#include <algorithm>
+
 namespace siskinspread::soak {
 
 namespace {
@@ -49,6 +51,57 @@
         }
     }
 
+    using Seconds = std::chrono::duration<double>;
+
+    bool isDisturbed(const Ledger& ledger, const std::string& host, SoakTime at, const SoakBounds& bounds)
+    {
+        const auto found = ledger.disturbed.find(host);
+        return found != ledger.disturbed.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& disturbance) {
+            return disturbance.from <= at && at < disturbance.until + bounds.contact;
+        });
+    }
+
+    /** @return the requests that a replica's limits let through from `from` to `to`; nothing when it named none for a part of it. */
+    std::optional<double> allowedBetween(const std::vector<NamedLimit>& limits, SoakTime from, SoakTime to)
+    {
+        double allowed = 0;
+        for (auto limit = limits.begin(); limit != limits.end(); ++limit) {
+            const auto begin = std::max(from, limit->from);
+            const auto end = std::next(limit) == limits.end() ? to : std::min(to, std::next(limit)->from);
+            if (begin < end && !limit->perSecond) {
+                return std::nullopt;
+            }
+            allowed += begin < end ? *limit->perSecond * Seconds { end - begin }.count() : 0;
+        }
+        return allowed;
+    }
+
+    void checkLimits(const Ledger& ledger, const std::string& instance, const ReplicaRecord& replica, const SoakBounds& bounds, std::vector<std::string>& problems)
+    {
+        std::vector<Arrival> counted;
+        for (const auto& arrival : replica.arrivals) {
+            const auto told = replica.told.find(arrival.host);
+            if (told != replica.told.end() && arrival.at >= told->second + bounds.limitTold && !isDisturbed(ledger, arrival.host, arrival.at, bounds)) {
+                counted.push_back(arrival);
+            }
+        }
+        size_t first = 0;
+        for (size_t last = 0; last < counted.size(); ++last) {
+            const auto from = counted[last].at - bounds.limitWindow;
+            while (counted[first].at <= from) {
+                ++first;
+            }
+            if (replica.limits.empty() || from < replica.limits.front().from + bounds.contact) {
+                continue;
+            }
+            const auto allowed = allowedBetween(replica.limits, from, counted[last].at);
+            if (allowed && static_cast<double>(last - first + 1) > 1.5 * *allowed + 5) {
+                problems.push_back(instance + ": got " + std::to_string(last - first + 1) + " requests in a window for which its limit allowed " + std::to_string(*allowed));
+                return;
+            }
+        }
+    }
+
 } // namespace
 
 std::vector<std::string> problemsOf(const Ledger& ledger, const SoakBounds& bounds)
@@ -61,6 +114,9 @@
             problems.push_back(id + ": ran at " + attempt.host + " with a key that had ended " + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(attempt.sentAt - revoked->second).count()) + " ms before");
         }
     }
+    for (const auto& [instance, replica] : ledger.replicas) {
+        checkLimits(ledger, instance, replica, bounds, problems);
+    }
     return problems;
 }
 
--- a/tests/soak/SoakLedger.h
+++ b/tests/soak/SoakLedger.h
@@ -34,10 +34,37 @@
     std::string body;
 };
 
-/** All requests of one soak, and what was done to keys. */
+/** A limit that a replica names from a moment on, in requests a second; empty: none. */
+struct NamedLimit {
+    SoakTime from {};
+    std::optional<double> perSecond;
+};
+
+/** A request that came to a replica. */
+struct Arrival {
+    SoakTime at {};
+    std::string host;
+};
+
+/** One incarnation of a replica. */
+struct ReplicaRecord {
+    std::vector<NamedLimit> limits; /**< In order. */
+    std::vector<Arrival> arrivals; /**< In order. */
+    std::map<std::string, SoakTime> told; /**< When a host first passed an answer on that named a limit. */
+};
+
+/** A time in which a host did not run as usual. */
+struct Disturbance {
+    SoakTime from {};
+    SoakTime until {};
+};
+
+/** All requests of one soak, and what was done to keys, replicas and hosts. */
 struct Ledger {
     std::map<std::string, Attempt> attempts;
     std::map<std::string, SoakTime> revoked; /**< When the store had acknowledged that the key is gone. */
+    std::map<std::string, ReplicaRecord> replicas; /**< By instance. */
+    std::map<std::string, std::vector<Disturbance>> disturbed; /**< By host. */
     std::vector<std::string> problems; /**< Seen on the way. */
 };
 
@@ -48,11 +75,14 @@
     std::chrono::milliseconds stopGrace { 2400 };
     std::chrono::milliseconds recovery { 15000 };
     uint64_t eventsOfStream { 5 };
+    std::chrono::milliseconds limitWindow { 4000 };
+    std::chrono::milliseconds limitTold { 500 }; /**< After it has passed a limit on, a host keeps to it. */
+    std::chrono::milliseconds contact { 3000 }; /**< After a limit is named first, and after a host was disturbed. */
 };
 
 /**
  * @return what is wrong with the attempts: ran twice, refused as not run but ran, foreign or changed answers, events missing
- * or doubled, keys accepted after their end. Thread safety: reentrant.
+ * or doubled, keys accepted after their end, replicas that got more than their limit allows. Thread safety: reentrant.
  */
 std::vector<std::string> problemsOf(const Ledger&, const SoakBounds&);
 
--- a/tests/soak/SoakLedgerTest.cpp
+++ b/tests/soak/SoakLedgerTest.cpp
@@ -48,6 +48,26 @@
     CHECK(problemsWith(stream) == 1);
 }
 
+TEST_CASE("a replica may get one and a half times its limit and five requests in four seconds")
+{
+    Ledger ledger;
+    auto& replica = ledger.replicas["i-1"];
+    replica.limits = { { .from = start, .perSecond = 1.0 } };
+    replica.told["host-1"] = start;
+    const auto send = [&](int count, const std::string& host, SoakTime at) { replica.arrivals.insert(replica.arrivals.end(), static_cast<size_t>(count), { .at = at, .host = host }); };
+    send(40, "host-1", start + milliseconds { 6900 }); // still within the first contact
+    send(11, "host-1", start + milliseconds { 12000 });
+    send(9, "host-2", start + milliseconds { 12000 }); // was not told
+    CHECK(problemsOf(ledger, {}).empty());
+    send(1, "host-1", start + milliseconds { 15999 });
+    CHECK(problemsOf(ledger, {}).size() == 1);
+    ledger.disturbed["host-1"] = { { .from = start + milliseconds { 10000 }, .until = start + milliseconds { 13000 } } };
+    CHECK(problemsOf(ledger, {}).empty());
+    ledger.disturbed.clear();
+    replica.limits.push_back({ .from = start + milliseconds { 13000 } });
+    CHECK(problemsOf(ledger, {}).empty());
+}
+
 TEST_CASE("a key may be accepted until its end is in force")
 {
     Ledger ledger;
--- a/tests/soak/SoakReplica.cpp
+++ b/tests/soak/SoakReplica.cpp
@@ -11,11 +11,6 @@
     constexpr uint64_t loseOneOf = 3; // answers, while the replica loses some
     constexpr uint64_t eventsOfStream = SoakBounds {}.eventsOfStream;
 
-    HttpHeaders signedHeaders(const std::string& id)
-    {
-        return { { "X-Attempt-Id", id }, { "X-Response-Seal", "s." + id } };
-    }
-
 } // namespace
 
 SoakReplica::SoakReplica(asio::io_context& context, std::string instance, Ledger& ledger, uint64_t seed)
@@ -45,6 +40,27 @@
     });
 }
 
+void SoakReplica::restart(std::string instance)
+{
+    m_instance = std::move(instance);
+    m_limit.reset();
+}
+
+void SoakReplica::setLimit(std::optional<double> limit)
+{
+    m_limit = limit;
+    m_ledger.replicas[m_instance].limits.push_back({ .from = std::chrono::steady_clock::now(), .perSecond = limit });
+}
+
+HttpHeaders SoakReplica::answerHeaders(const std::string& id) const
+{
+    HttpHeaders headers { { "X-Attempt-Id", id }, { "X-Response-Seal", "s." + id }, { "X-Replica-Id", m_instance } };
+    if (m_limit) {
+        headers.push_back({ "Server-Limit", std::to_string(*m_limit) });
+    }
+    return headers;
+}
+
 void SoakReplica::handle(ReceivedRequest&& request)
 {
     const auto& headers = request.head.headers;
@@ -57,6 +73,7 @@
         m_ledger.problems.push_back(id + ": a replica was shown an API key");
     }
     auto& attempt = m_ledger.attempts[id];
+    m_ledger.replicas[m_instance].arrivals.push_back({ .at = std::chrono::steady_clock::now(), .host = attempt.host });
     if (attempt.kind != RequestKind::Stream) {
         ++attempt.runs;
         later(milliseconds { draw(longestRun) }, [this, connection = request.connection, id] { answer(connection, id); });
@@ -86,12 +103,12 @@
         connection->abort();
         return;
     }
-    connection->respond(200, "OK", signedHeaders(id), "done " + id);
+    connection->respond(200, "OK", answerHeaders(id), "done " + id);
 }
 
 void SoakReplica::beginStream(const std::shared_ptr<CallerConnection>& connection, const std::string& id, uint64_t after)
 {
-    AnswerHead head { .status = 200, .phrase = "OK", .headers = signedHeaders(id), .framing = BodyFraming::Chunked };
+    AnswerHead head { .status = 200, .phrase = "OK", .headers = answerHeaders(id), .framing = BodyFraming::Chunked };
     head.headers.push_back({ "Content-Type", "text/event-stream" });
     connection->beginAnswer(head, false);
     nextEvent(connection, id, after + 1);
--- a/tests/soak/SoakReplica.h
+++ b/tests/soak/SoakReplica.h
@@ -21,13 +21,16 @@
     const std::string& instance() const { return m_instance; }
 
     /** Starts again under another instance name; the address stays. */
-    void restart(std::string instance) { m_instance = std::move(instance); }
+    void restart(std::string instance);
+    /** From here on its answers name a limit in requests a second, or none. */
+    void setLimit(std::optional<double>);
     /** From here on some answers break off after the run. */
     void setLosesAnswers(bool loses) { m_losesAnswers = loses; }
 
 private:
     void accept();
     void handle(ReceivedRequest&&);
+    HttpHeaders answerHeaders(const std::string& id) const;
     void answer(const std::shared_ptr<CallerConnection>&, const std::string& id);
     void beginStream(const std::shared_ptr<CallerConnection>&, const std::string& id, uint64_t after);
     void nextEvent(const std::shared_ptr<CallerConnection>&, const std::string& id, uint64_t event);
@@ -40,6 +43,7 @@
     std::string m_instance;
     Ledger& m_ledger;
     std::mt19937_64 m_random;
+    std::optional<double> m_limit;
     bool m_losesAnswers { false };
 };
 
