Order replicas in place of those that take less than an even part of the requests

Cause: the need for replicas is reckoned from what runs and waits. What is refused for a limit does neither, and a replica with a limit counts as a whole one, so nothing is ordered in its place. Change: hosts tell each other, while a limit is named, how many requests a second their callers ask for; the need rises by the part of an even share that replicas with a limit do not take. Without limits nothing changes, in the plan as in the messages.

--- a/packages/decisions/include/siskinspread/FleetPlan.h
+++ b/packages/decisions/include/siskinspread/FleetPlan.h
@@ -24,6 +24,9 @@
 struct FleetDemand {
     double promptTokensPerSecond { 0 }; /**< To be computed, without those that were found in memory. */
     double requests { 0 }; /**< At replicas or waiting. */
+    double requestsPerSecond { 0 }; /**< Of callers, also those that are refused; needed only where `limitsPerSecond` is not empty. */
+    uint32_t unlimitedReplicas { 0 }; /**< Serving, without those that have named a limit. */
+    std::vector<double> limitsPerSecond; /**< Requests that each of the other serving replicas takes. */
 };
 
 /** Bounds and figures of one service. */
@@ -60,7 +63,10 @@
     bool operator==(const DomainOrder&) const = default;
 };
 
-/** @return how many replicas the demand needs. Thread safety: reentrant. */
+/**
+ * @return how many replicas the demand needs, with others in place of those that take less than an even part of the requests: what
+ * is refused for their limits neither runs nor waits, so that the load alone does not show it. Thread safety: reentrant.
+ */
 uint32_t replicasNeeded(const FleetDemand&, const FleetLimits&, const FleetPlanOptions&);
 
 /**
--- a/packages/decisions/src/FleetPlan.cpp
+++ b/packages/decisions/src/FleetPlan.cpp
@@ -46,6 +46,17 @@
             + options.surgeShare * shortfall(needed * options.surge, all);
     }
 
+    /** @return the replicas whose work is missing because others take less than an even part of the requests. */
+    double missingByLimits(const FleetDemand& demand)
+    {
+        const double replicas = static_cast<double>(demand.unlimitedReplicas + demand.limitsPerSecond.size());
+        if (demand.limitsPerSecond.empty() || demand.requestsPerSecond <= 0) {
+            return 0;
+        }
+        const double evenPart = demand.requestsPerSecond / replicas;
+        return std::accumulate(demand.limitsPerSecond.begin(), demand.limitsPerSecond.end(), 0.0, [&](double missing, double limit) { return missing + std::max(0.0, 1.0 - limit / evenPart); });
+    }
+
     std::vector<size_t> cheapestFirst(const std::vector<DomainFleet>& domains)
     {
         std::vector<size_t> order(domains.size());
@@ -92,7 +103,7 @@
 {
     const double byPrompts = demand.promptTokensPerSecond / (options.promptTokensPerSecond * options.promptShare);
     const double byRequests = demand.requests / (limits.slots * options.slotShare);
-    return static_cast<uint32_t>(std::ceil(std::max(byPrompts, byRequests) * options.headroom));
+    return static_cast<uint32_t>(std::ceil(std::max(byPrompts, byRequests) * options.headroom + missingByLimits(demand)));
 }
 
 std::vector<DomainOrder> planFleet(uint32_t needed, const std::vector<DomainFleet>& domains, const FleetLimits& limits, const FleetPlanOptions& options)
--- a/packages/decisions/tests/FleetPlanTest.cpp
+++ b/packages/decisions/tests/FleetPlanTest.cpp
@@ -35,6 +35,23 @@
     CHECK(replicasNeeded({ .promptTokensPerSecond = 300000, .requests = 1000 }, limits, options) > byPrompts);
 }
 
+TEST_CASE("replicas that take less than an even part of the requests are made good")
+{
+    const FleetPlanOptions options;
+    const FleetDemand demand { .requests = 60, .requestsPerSecond = 100 };
+    const auto usual = replicasNeeded(demand, limits, options);
+    auto limited = demand;
+    limited.unlimitedReplicas = 15;
+    limited.limitsPerSecond = { 1.0, 1.0, 1.0, 4.0, 4.0 }; // an even part is 5 a second
+    CHECK(replicasNeeded(limited, limits, options) >= usual + 2);
+    CHECK(replicasNeeded(limited, limits, options) <= usual + 3);
+    limited.limitsPerSecond = { 50.0, 5.0 };
+    CHECK(replicasNeeded(limited, limits, options) == usual);
+    // All that serve have named one, and what they turn away neither runs nor waits.
+    limited = { .requests = 4, .requestsPerSecond = 100, .limitsPerSecond = std::vector<double>(20, 1.0) };
+    CHECK(replicasNeeded(limited, limits, options) >= 16);
+}
+
 TEST_CASE("where reclaimable replicas are cheap, what is left after any one domain's have gone still meets the need")
 {
     for (const uint32_t needed : { 3U, 5U, 9U, 20U }) {
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -26,6 +26,7 @@
 /** What this host asks of the replicas of one service. */
 struct ServiceDemand {
     double promptTokensPerSecond { 0 }; /**< To be computed, smoothed. */
+    double requestsPerSecond { 0 }; /**< Of callers, also those that are refused, smoothed. */
     std::optional<MonotonicTime> updatedAt;
 };
 
@@ -85,8 +86,8 @@
     size_t openExchanges() const { return m_open.size(); }
     size_t waitingExchanges() const { return m_waiting.size(); }
     std::unordered_map<std::string, SharedQuota>& quotas() { return m_quotas; }
-    /** @return prompt tokens that this host sends to the service's replicas to be computed, per second. */
-    double promptTokensPerSecond(const std::string& service) const;
+    /** @return what this host asks of the service's replicas now. */
+    ServiceDemand demandFor(const std::string& service) const;
     uint32_t waitingFor(std::string_view service) const;
 
     // For exchanges.
@@ -127,6 +128,7 @@
     std::optional<std::chrono::milliseconds> overQuota(AdmittedRequest&);
     QuotaLimit limitOf(const Customer&) const;
     void refreshQuotas(MonotonicTime now);
+    void noteAsked(const std::string& service);
     /** @return whether the request was sent or answered; otherwise it waits. */
     bool dispatch(const std::shared_ptr<Exchange>&);
     static EngineRequest engineRequest(const Exchange&, const Placement&, const std::vector<PlacementCandidate>&, MonotonicTime now);
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -151,6 +151,7 @@
         refuse(request.received, id, ResultCode::DeadlineExpired, 503, milliseconds { 0 }, "the deadline had passed on arrival");
         return std::nullopt;
     }
+    noteAsked(request.service->name);
     auto& budget = m_retries[request.service->name];
     depositRetryTokens(budget, request.customer != nullptr ? request.customer->name : std::string {}, std::chrono::steady_clock::now());
     return request;
@@ -226,20 +227,27 @@
 void Forwarder::noteUnread(const std::string& service, uint32_t tokens)
 {
     auto& demand = m_demands[service];
-    const auto now = std::chrono::steady_clock::now();
-    const double seconds = demand.updatedAt ? std::chrono::duration<double>(now - *demand.updatedAt).count() : 0.0;
-    demand.promptTokensPerSecond = demand.promptTokensPerSecond * std::exp(-seconds / demandMemorySeconds) + tokens / demandMemorySeconds;
-    demand.updatedAt = now;
+    demand = demandFor(service);
+    demand.promptTokensPerSecond += tokens / demandMemorySeconds;
+}
+
+void Forwarder::noteAsked(const std::string& service)
+{
+    auto& demand = m_demands[service];
+    demand = demandFor(service);
+    demand.requestsPerSecond += 1 / demandMemorySeconds;
 }
 
-double Forwarder::promptTokensPerSecond(const std::string& service) const
+ServiceDemand Forwarder::demandFor(const std::string& service) const
 {
-    auto found = m_demands.find(service);
-    if (found == m_demands.end()) {
-        return 0.0;
+    const auto now = std::chrono::steady_clock::now();
+    ServiceDemand demand { .updatedAt = now };
+    if (const auto found = m_demands.find(service); found != m_demands.end() && found->second.updatedAt) {
+        const double kept = std::exp(-std::chrono::duration<double>(now - *found->second.updatedAt).count() / demandMemorySeconds);
+        demand.promptTokensPerSecond = found->second.promptTokensPerSecond * kept;
+        demand.requestsPerSecond = found->second.requestsPerSecond * kept;
     }
-    const double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - *found->second.updatedAt).count();
-    return found->second.promptTokensPerSecond * std::exp(-seconds / demandMemorySeconds);
+    return demand;
 }
 
 uint32_t Forwarder::waitingFor(std::string_view service) const
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -341,15 +341,25 @@
 FleetDemand PeerExchange::demandOf(const std::string& service) const
 {
     const auto now = std::chrono::steady_clock::now();
-    FleetDemand demand { .promptTokensPerSecond = m_forwarder.promptTokensPerSecond(service), .requests = static_cast<double>(m_forwarder.waitingFor(service)) };
+    const auto own = m_forwarder.demandFor(service);
+    FleetDemand demand { .promptTokensPerSecond = own.promptTokensPerSecond, .requests = static_cast<double>(m_forwarder.waitingFor(service)), .requestsPerSecond = own.requestsPerSecond };
     for (const auto& [host, peer] : m_peers) {
         if (auto told = peer.services.find(service); told != peer.services.end() && mayServe(peer, now)) {
             demand.promptTokensPerSecond += told->second.prompt_tokens_per_second();
             demand.requests += told->second.waiting();
+            demand.requestsPerSecond += told->second.requests_per_second();
         }
     }
     for (const auto& replica : m_forwarder.replicas().ofService(service)) {
         demand.requests += replica->ownLoad.requests + replica->peerLoad.requests;
+        if (!m_forwarder.isServing(*replica)) {
+            continue;
+        }
+        if (const auto* limit = m_forwarder.limits().find(replica->identity); limit != nullptr) {
+            demand.limitsPerSecond.push_back(*limit->evidence->requestsPerSecond);
+        } else {
+            ++demand.unlimitedReplicas;
+        }
     }
     return demand;
 }
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -55,7 +55,11 @@
         for (const auto& service : m_forwarder.table()->configuration().services) {
             auto& demand = *state.add_services();
             demand.set_service(service.name);
-            demand.set_prompt_tokens_per_second(m_forwarder.promptTokensPerSecond(service.name));
+            const auto own = m_forwarder.demandFor(service.name);
+            demand.set_prompt_tokens_per_second(own.promptTokensPerSecond);
+            if (m_forwarder.limits().namedCount() > 0) {
+                demand.set_requests_per_second(own.requestsPerSecond);
+            }
             demand.set_waiting(m_forwarder.waitingFor(service.name));
         }
     }
