Let only holders of shares tell of a limit, and check limits from peers

Cause: every host that was shown a limit told all others of it for 12 s in each message. When all 670 replicas of the target name one at once, a host of 380 that was shown 64 would send 245 KB/s, by arithmetic; control may take 25. The holders are shown the limit again with each call, so they tell it alone: 27 KB/s for 12 s, then 4.3. Also: a limit that a broken message names (negative, not finite) and an age beyond the range of the clock are passed over or cut, as they already were in answers. Shares are brought up to date every second, so that a host without requests for a replica tells rightly.

--- a/packages/decisions/include/siskinspread/ReplicaLimit.h
+++ b/packages/decisions/include/siskinspread/ReplicaLimit.h
@@ -18,7 +18,7 @@
      * before a limit that another answer has named since.
      */
     BootTime at;
-    uint32_t round { 0 }; /**< Of the holders of the shares, see ReplicaLimit. */
+    uint32_t round { 0 }; /**< Of the holders of shares, see ReplicaLimit. */
 };
 
 /** The hosts among which limits are shared, as one of them knows them. */
@@ -43,12 +43,12 @@
     bool firstHand { false }; /**< This host has had an answer that showed the limit as it is. */
     BootTime changedAt; /**< When `evidence` last changed in more than its age. */
 
-    uint32_t holders { 0 };
-    bool holdsShare { false };
+    uint32_t holders { 0 }; /**< Hosts over which the limit is divided; zero before the share was first determined. */
+    bool holdsShare { false }; /**< This host is one of them. */
     double calls { 0 }; /**< That this host may make now. */
-    BootTime refilledAt;
-    uint32_t sharedRound { 0 }; /**< Round and version of the hosts for which the holders were determined. */
-    uint64_t sharedVersion { 0 };
+    BootTime refilledAt; /**< When `calls` was last brought up to date; in the future while this host settles. */
+    uint32_t sharedRound { 0 }; /**< Round for which the holders were determined. */
+    uint64_t sharedVersion { 0 }; /**< Version of the hosts for which the holders were determined. */
 };
 
 /** @return over how many hosts a limit is divided. Thread safety: reentrant. */
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -128,6 +128,7 @@
     std::optional<std::chrono::milliseconds> overQuota(AdmittedRequest&);
     QuotaLimit limitOf(const Customer&) const;
     void refreshQuotas(MonotonicTime now);
+    /** A caller asks for the service, whatever becomes of the request. */
     void noteAsked(const std::string& service);
     /** @return whether the request was sent or answered; otherwise it waits. */
     bool dispatch(const std::shared_ptr<Exchange>&);
@@ -136,6 +137,7 @@
     void noteState(Replica&, const ReplicaState&, MonotonicTime askedAt);
     std::vector<PlacementCandidate> placementCandidates(const Exchange&, const std::vector<std::shared_ptr<Replica>>&, MonotonicTime now) const;
     std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now);
+    /** What a request that no replica can take now may hope for. */
     WaitOutlook outlookFor(const std::shared_ptr<Exchange>&, MonotonicTime now);
     uint64_t waitingAhead(const std::shared_ptr<Exchange>&) const;
     void onLimitChanged(uint64_t identity, std::string_view source);
--- a/packages/forwarding/include/siskinspread/ReplicaLimits.h
+++ b/packages/forwarding/include/siskinspread/ReplicaLimits.h
@@ -27,7 +27,7 @@
     bool noteNamed(uint64_t replica, double requestsPerSecond);
     /** An answer names none. @param sentAt when its request was sent. @return whether that is new. */
     bool noteUnnamed(uint64_t replica, BootTime sentAt);
-    /** Another host tells what it knows. @return whether that is new. */
+    /** Another host tells what it knows; a limit that is negative or not finite is passed over. @return whether that is new. */
     bool noteTold(uint64_t replica, const LimitEvidence&);
 
     /** @return whether the replica may be called now, with a call of any kind. */
@@ -39,10 +39,10 @@
 
     /** @return how many limits are named. */
     size_t namedCount() const;
-    /** What is known, also of limits that have ended lately. */
+    /** What is known, also of limits that have ended lately; shares as of the last review. */
     const std::unordered_map<uint64_t, ReplicaLimit>& all() const { return m_limits; }
-    /** Forgets what has ended long ago. To be called every second or so. */
-    void forgetOld();
+    /** Brings all shares up to date and forgets what has ended long ago. To be called every second or so. */
+    void review();
 
 private:
     bool note(uint64_t replica, const LimitEvidence&, bool firstHand);
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -15,6 +15,7 @@
     constexpr milliseconds quietTime { 6000 };
     // A host keeps its shares of replicas' limits for longer, so that a restart or a few lost messages do not hand them to others.
     constexpr milliseconds sharesKept { 15000 };
+    constexpr uint64_t oldestLimitMs = 3'600'000; // keeps ages that a broken message names in range
     constexpr milliseconds loadTime { 1500 }; // what a silent peer had at replicas has probably ended, unless it tells more rarely
 
     bool isRecent(const std::optional<MonotonicTime>& at, MonotonicTime now, milliseconds within)
@@ -159,7 +160,8 @@
 {
     const auto now = BootClock::now();
     for (const auto& told : state.limits()) {
-        LimitEvidence evidence { .at = now - milliseconds { told.age_ms() }, .round = told.round() };
+        const std::chrono::duration<uint64_t, std::milli> age { std::min(told.age_ms(), oldestLimitMs) };
+        LimitEvidence evidence { .at = now - age, .round = told.round() };
         if (told.has_requests_per_second()) {
             evidence.requestsPerSecond = told.requests_per_second();
         }
@@ -296,7 +298,7 @@
         }
     }
     m_forwarder.limits().setHosts(std::move(hosts));
-    m_forwarder.limits().forgetOld();
+    m_forwarder.limits().review();
 }
 
 void PeerExchange::tick(MonotonicTime now)
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -115,15 +115,20 @@
 {
     const auto now = BootClock::now();
     for (const auto& [identity, limit] : m_forwarder.limits().all()) {
-        if (limit.firstHand && (whole || now - limit.changedAt < limitToldFor) && state.limits_size() < maxLimitsTold) {
-            auto& told = *state.add_limits();
-            told.set_replica(identity);
-            if (limit.evidence->requestsPerSecond) {
-                told.set_requests_per_second(*limit.evidence->requestsPerSecond);
-            }
-            told.set_age_ms(static_cast<uint64_t>(std::max<int64_t>(0, std::chrono::duration_cast<milliseconds>(now - limit.evidence->at).count())));
-            told.set_round(limit.evidence->round);
+        // The holders of the shares are shown a limit again with each call, so the other hosts need not tell of it.
+        const auto& evidence = *limit.evidence;
+        const bool isSource = limit.firstHand && (limit.holdsShare || !evidence.requestsPerSecond);
+        const bool isDue = whole || now - limit.changedAt < limitToldFor;
+        if (!isSource || !isDue || state.limits_size() >= maxLimitsTold) {
+            continue;
+        }
+        auto& told = *state.add_limits();
+        told.set_replica(identity);
+        if (evidence.requestsPerSecond) {
+            told.set_requests_per_second(*evidence.requestsPerSecond);
         }
+        told.set_age_ms(static_cast<uint64_t>(std::max<int64_t>(0, std::chrono::duration_cast<milliseconds>(now - evidence.at).count())));
+        told.set_round(evidence.round);
     }
 }
 
--- a/packages/forwarding/src/ReplicaLimits.cpp
+++ b/packages/forwarding/src/ReplicaLimits.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/ReplicaLimits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace siskinspread {
 
@@ -11,6 +12,11 @@
     // Of a replica that no host has had an answer from for so long, several rounds of holders have tried; it has ended.
     constexpr std::chrono::minutes limitKept { 30 };
 
+    bool isRate(double value)
+    {
+        return std::isfinite(value) && value >= 0;
+    }
+
 } // namespace
 
 ReplicaLimits::ReplicaLimits(const std::string& self)
@@ -40,14 +46,20 @@
 
 bool ReplicaLimits::noteTold(uint64_t replica, const LimitEvidence& evidence)
 {
-    return (evidence.requestsPerSecond || m_limits.contains(replica)) && note(replica, evidence, false);
+    if (evidence.requestsPerSecond ? !isRate(*evidence.requestsPerSecond) : !m_limits.contains(replica)) {
+        return false;
+    }
+    return note(replica, evidence, false);
 }
 
 bool ReplicaLimits::note(uint64_t replica, const LimitEvidence& evidence, bool firstHand)
 {
     auto& limit = m_limits[replica];
     limit.replica = replica;
-    return noteEvidence(limit, evidence, firstHand, BootClock::now());
+    const auto now = BootClock::now();
+    const bool changed = noteEvidence(limit, evidence, firstHand, now);
+    refreshShare(limit, m_hosts, now);
+    return changed;
 }
 
 bool ReplicaLimits::mayCall(uint64_t replica)
@@ -78,9 +90,12 @@
     return static_cast<size_t>(std::count_if(m_limits.begin(), m_limits.end(), [](const auto& entry) { return entry.second.evidence->requestsPerSecond.has_value(); }));
 }
 
-void ReplicaLimits::forgetOld()
+void ReplicaLimits::review()
 {
     const auto now = BootClock::now();
+    for (auto& [replica, limit] : m_limits) {
+        refreshShare(limit, m_hosts, now);
+    }
     std::erase_if(m_limits, [&](const auto& entry) {
         const auto& limit = entry.second;
         return limit.evidence->requestsPerSecond ? now - limit.evidence->at > limitKept : now - limit.changedAt > endedLimitKept;
