Soak: limits stand long enough to be checked, with draws of their own

Cause: the first form of the soak's limits could not fail. Change: two of three replicas name limits from the start of the faults and change or end them every 2 to 12 s. Their draws come from a generator of their own, so the other faults of the kept seeds are what they were.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -22,6 +22,10 @@
     // Beyond a route's timeout, for a request of a host that runs: scheduling, and a connection that waited to be accepted.
     constexpr milliseconds answerSlack { 2500 };
     constexpr double limits[] { 0.3, 1.0, 2.5, 8.0 }; // requests a second that a replica may name
+    constexpr uint64_t endLimitOneOf = 5; // changes of a limit
+    // A limit has to stand for as long as a window and what comes before it to be checked.
+    constexpr uint64_t shortestLimit = 2000; // milliseconds
+    constexpr uint64_t longestLimit = 12000;
     constexpr LinkFault linkFaults[] { LinkFault::Delay, LinkFault::LoseAnswers, LinkFault::Silence };
 
     json routeOf(const char* name, const char* kind, int attempts, const SoakBounds& bounds)
@@ -36,6 +40,7 @@
     : m_options(std::move(options))
     , m_platform(m_context)
     , m_random(m_options.seed)
+    , m_limitRandom(m_options.seed)
     , m_startedAt(std::chrono::steady_clock::now())
 {
     const auto ports = testing::freePorts(static_cast<size_t>(m_options.hosts) * portsPerHost);
@@ -145,7 +150,7 @@
 void Soak::faultOnReplica(Behind& behind)
 {
     const auto fault = draw(std::size(linkFaults));
-    switch (draw(6)) {
+    switch (draw(5)) {
     case 0:
         tell("replica link fault " + std::to_string(fault) + " " + behind.entry);
         behind.link->setFault(linkFaults[fault]);
@@ -160,13 +165,7 @@
         behind.replica->setLosesAnswers(true);
         later(drawTime(200, 1500), [&behind] { behind.replica->setLosesAnswers(false); });
         break;
-    case 3: {
-        const auto limit = draw(3) == 0 ? std::nullopt : std::optional { limits[draw(std::size(limits))] };
-        tell("limit of " + behind.entry + " " + (limit ? std::to_string(*limit) : "ends"));
-        behind.replica->setLimit(limit);
-        break;
-    }
-    case 4:
+    case 3:
         tell("replica starts again " + behind.entry);
         behind.link->resetAll();
         behind.replica->restart("i-" + std::to_string(++m_lastInstance));
@@ -183,6 +182,18 @@
     }
 }
 
+/** Has draws of its own, so that the faults of a seed stay what they were before there were limits. */
+void Soak::changeLimit(Behind& behind)
+{
+    if (m_isCalm) {
+        return;
+    }
+    const auto limit = m_limitRandom() % endLimitOneOf == 0 ? std::nullopt : std::optional { limits[m_limitRandom() % std::size(limits)] };
+    tell("limit of " + behind.replica->instance() + " " + (limit ? std::to_string(*limit) : "ends"));
+    behind.replica->setLimit(limit);
+    later(milliseconds { shortestLimit + m_limitRandom() % (longestLimit - shortestLimit) }, [this, &behind] { changeLimit(behind); });
+}
+
 void Soak::faultOnStore()
 {
     switch (draw(4)) {
@@ -305,6 +316,7 @@
 void Soak::calm()
 {
     tell("calm");
+    m_isCalm = true;
     for (auto& side : m_sides) {
         side.resumeAt = side.resumeAt ? std::optional { std::chrono::steady_clock::now() } : std::nullopt;
         side.store->setFault(LinkFault::None);
@@ -377,6 +389,9 @@
         m_ledger.problems.push_back("no request was answered at the start");
     }
     tell("faults begin");
+    for (size_t number = 0; number + 1 < m_replicas.size(); ++number) { // the last one stays for the callers
+        changeLimit(m_replicas[number]);
+    }
     const auto end = std::chrono::steady_clock::now() + m_options.faultTime;
     while (std::chrono::steady_clock::now() < end) {
         injectFault();
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -58,6 +58,7 @@
     void injectFault();
     void faultOnHost(Side&);
     void faultOnReplica(Behind&);
+    void changeLimit(Behind&);
     void faultOnStore();
     void changeKeys();
     void later(std::chrono::milliseconds, std::function<void()>);
@@ -81,6 +82,8 @@
     std::deque<Side> m_sides;
     std::deque<Behind> m_replicas;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_limitRandom;
+    bool m_isCalm { false };
     std::vector<std::string> m_story;
     std::vector<std::string> m_keys { "k-0" };
     SoakTime m_startedAt;
