--- a/packages/decisions/src/ReplicaLimit.cpp
+++ b/packages/decisions/src/ReplicaLimit.cpp
@@ -101,7 +101,7 @@
     if (isFirst || holders != limit.holders || round != limit.sharedRound || hosts.version != limit.sharedVersion) {
         const auto rank = dutyRank("replica-limit/" + std::to_string(limit.replica) + "/" + std::to_string(round), hosts.self, hosts.all, holders);
         if (!rank || !limit.holdsShare || isFirst) {
-            // Holders that begin together take turns. One that is added later has waited for a whole call of its own.
+            // Holders that begin together take turns; one that is added later begins with an empty share.
             limit.calls = rank && isFirst ? static_cast<double>(holders - 1 - *rank) / holders : 0;
             limit.refilledAt = std::max(now, hosts.settledAt);
         }
