--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -606,6 +606,7 @@
     try:
         held = asyncio.run(limited())
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        print(f"could not run: {type(error).__name__} {error}")
-        sys.exit(2)
-    sys.exit(0 if held else 1)
+        print(f"could not run: {type(error).__name__} {error}", flush=True)
+        os._exit(2)
+    sys.stdout.flush()
+    os._exit(0 if held else 1)  # connections that are still open end with the process
