--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -115,6 +115,7 @@
         self.handle = handle
         self.server = None
         self.writers = set()
+        self.silent = set()  # connections of a machine that has lost its power: nothing more comes on them
 
     def name(self):
         return f"{self.address}:{self.port}"
@@ -131,6 +132,13 @@
             reset(writer)
         self.writers.clear()
 
+    def lose_power(self):
+        """Nothing listens any more, and open connections go silent."""
+        if self.server:
+            self.server.close()
+            self.server = None
+        self.silent |= self.writers
+
     async def serve(self, reader, writer):
         writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.writers.add(writer)
@@ -138,11 +146,14 @@
             while True:
                 head = await read_head(reader)
                 body = await read_body(reader, head)
+                if writer in self.silent:
+                    continue
                 await self.handle(head, body, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, ValueError):
             pass
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
 
@@ -208,8 +219,11 @@
             if waiter[0] == kind:
                 waiter[1].set()
 
-    def go_away(self):
-        self.server.shut()
+    def go_away(self, silently=False):
+        if silently:
+            self.server.lose_power()
+        else:
+            self.server.shut()
 
     async def come_back(self, as_of):
         """Serves a copy of what stood at the instant `as_of` of the monotonic clock."""
@@ -294,6 +308,8 @@
         return [{"object": obj, "removed": removed} for revision, known, _, obj, removed in self.changes if known == kind and revision > after]
 
     def reply(self, writer, status, content):
+        if writer in self.server.silent:
+            return
         answer(writer, status, [("Content-Type", "application/json"), ("Store-Era", str(self.era))], json.dumps(content).encode())
 
 
@@ -329,6 +345,7 @@
         self.state = "serving"
         self.sequence = 0
         self.alive = False
+        self.half_written = 0  # long answers of which half is on its way
         self.runs = []  # (time, attempt id, tenant)
         self.server = Server(address, self.handle)
         self.beats = None
@@ -381,12 +398,19 @@
         content = self.body_of(target)
         writer.write((f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: seal.{self.name}.{attempt}\r\nX-Replica-Load: 1,0,{self.slots}\r\n"
                       f"Content-Length: {len(content)}\r\n\r\n").encode())
-        for at in range(0, len(content), self.piece):
-            writer.write(content[at:at + self.piece])
+        counted = False
+        try:
+            for at in range(0, len(content), self.piece):
+                writer.write(content[at:at + self.piece])
+                await writer.drain()
+                if at > len(content) / 2 and not counted:
+                    counted = True
+                    self.half_written += 1
+                if len(content) > self.piece:
+                    await asyncio.sleep(self.piece_s)
             await writer.drain()
-            if len(content) > self.piece:
-                await asyncio.sleep(self.piece_s)
-        await writer.drain()
+        finally:
+            self.half_written -= counted
 
 
 # Clients --------------------------------------------------------------------------------------------------------------
@@ -610,11 +634,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited():
+        # A case that is stopped from outside ends its processes too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         return await asyncio.wait_for(play(folder, trouble), 110)
 
     try:
         held = asyncio.run(limited())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (CannotRun, asyncio.CancelledError, asyncio.TimeoutError, OSError) as error:
         print(f"could not run: {type(error).__name__} {error}", flush=True)
         os._exit(2)
     sys.stdout.flush()
