--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -343,8 +343,10 @@
         self.body_of = body_of or (lambda target: f"{service} {target}\n".encode())
         self.born = int(time.time() * 1000)
         self.state = "serving"
+        self.leaving = False
         self.sequence = 0
         self.alive = False
+        self.busy = 0  # requests at work
         self.half_written = 0  # long answers of which half is on its way
         self.runs = []  # (time, attempt id, tenant)
         self.server = Server(address, self.handle)
@@ -376,6 +378,13 @@
         await asyncio.sleep(3 * HEARTBEAT_S)
         self.store.remove("servers", self.name)
 
+    def leave(self):
+        """Leaves without a word in the list: its entry is removed, and it goes on serving for a while."""
+        self.leaving = True
+        self.beats.cancel()
+        self.store.remove("servers", self.name)
+        self.record.say(f"replica {self.name} leaves: its entry is removed")
+
     def close(self):
         self.alive = False
         if self.beats:
@@ -394,9 +403,14 @@
             return
         self.runs.append((time.monotonic(), attempt, head.get("x-tenant")))
         self.record.say(f"replica {self.name} ({self.service}) runs {attempt} {method} {target}")
-        await asyncio.sleep(self.work_s)
+        self.busy += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.busy -= 1
         content = self.body_of(target)
         writer.write((f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Response-Seal: seal.{self.name}.{attempt}\r\nX-Replica-Load: 1,0,{self.slots}\r\n"
+                      f"{'Server-Leaving: 1' + chr(13) + chr(10) if self.leaving else ''}"
                       f"Content-Length: {len(content)}\r\n\r\n").encode())
         counted = False
         try:
