Review: an error of a script is no verdict

Cause: an exception other than those that were expected ended a script with 1, which says that the rule was broken.

--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -655,7 +655,7 @@
 
     try:
         held = asyncio.run(limited())
-    except (CannotRun, asyncio.CancelledError, asyncio.TimeoutError, OSError) as error:
+    except BaseException as error:  # whatever it is, it is no verdict
         print(f"could not run: {type(error).__name__} {error}", flush=True)
         os._exit(2)
     sys.stdout.flush()
