--- a/review/standins/standins.py
+++ b/review/standins.py
@@ -17,7 +17,7 @@
 import tomllib
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-ROOT = os.path.dirname(os.path.dirname(HERE))
+ROOT = os.path.dirname(HERE)
 
 # As on the sheet of cehasa-gate.
 BOUNDS = {
