--- a/review/standins.py
+++ b/review/standins.py
@@ -347,7 +347,7 @@
         self.sequence = 0
         self.alive = False
         self.busy = 0  # requests at work
-        self.half_written = 0  # long answers of which half is on its way
+        self.half_written = 0  # long answers of which half is on its way, and not all
         self.runs = []  # (time, attempt id, tenant)
         self.server = Server(address, self.handle)
         self.beats = None
@@ -417,9 +417,9 @@
             for at in range(0, len(content), self.piece):
                 writer.write(content[at:at + self.piece])
                 await writer.drain()
-                if at > len(content) / 2 and not counted:
-                    counted = True
-                    self.half_written += 1
+                on_its_way = len(content) / 2 < at < len(content) - self.piece  # the last piece is still to be written
+                self.half_written += on_its_way - counted
+                counted = on_its_way
                 if len(content) > self.piece:
                     await asyncio.sleep(self.piece_s)
             await writer.drain()
