--- a/review/standins.py
+++ b/review/standins.py
@@ -358,10 +358,15 @@
         self.beats = asyncio.ensure_future(self.beat())
 
     def enter(self):
+        """A heartbeat. The entry changes only when more than `seq` changes."""
         self.sequence += 1
-        self.store.put("servers", self.name, {
-            "service": self.service, "address": self.server.name(), "zone": self.zone, "version": "v1", "slots": self.slots,
-            "state": self.state, "cold_left_ms": 0, "seq": self.sequence, "born": self.born})
+        entry = {"service": self.service, "address": self.server.name(), "zone": self.zone, "version": "v1", "slots": self.slots,
+                 "state": self.state, "cold_left_ms": 0, "seq": self.sequence, "born": self.born}
+        known = self.store.find("servers", self.name)
+        if known and {**known["spec"], "seq": self.sequence} == entry:
+            known["spec"]["seq"] = self.sequence
+        else:
+            self.store.put("servers", self.name, entry)
 
     async def beat(self):
         while self.alive:
