Answers: no bytes of a second replica, no partial answer that looks complete, no status outside 100 to 599

Cause: a repeatable request was sent again after a part of its answer had been passed on, although only an event stream can go on where it broke off. An answer without a length ended well when its connection did, also while the request was still being written. The parser takes any three digits as a status. A connection with an unwritten answer counted as idle, so a planned stop or the idle time cut it. SIGHUP, SIGTERM and SIGINT are now blocked from the start of main until the handlers are installed.

--- a/packages/daemon/main/Main.cpp
+++ b/packages/daemon/main/Main.cpp
@@ -1,5 +1,6 @@
 #include "siskinspread/Daemon.h"
 #include "siskinspread/ForwardingHost.h"
+#include "siskinspread/ProcessSignals.h"
 #include "siskinspread/SettingsFile.h"
 #include "siskinspread/platform/Adapter.h"
 #include "siskinspread/platform/BootSettings.h"
@@ -45,6 +46,7 @@
     runningDaemon = &daemon;
     std::signal(SIGTERM, onStopSignal);
     std::signal(SIGINT, onStopSignal);
+    siskinspread::unblockProcessSignals();
     if (!daemon.run(reason)) {
         std::cerr << reason.detail << '\n';
         return exitCannotStart;
@@ -79,6 +81,7 @@
 
 int main(int argc, char** argv)
 {
+    siskinspread::blockProcessSignals();
     options::options_description description { "siskinspread: the daemon of an entry host\n\nOptions" };
     description.add_options()("help", "show this text")("version", "show the version")("settings", options::value<std::string>(), "settings file, TOML")("check-settings", "check the settings file and exit")("platform", "forward to the replicas of a platform; the settings are those that it hands to a process");
     options::variables_map values;
--- a/packages/forwarding/src/CallerConnection.cpp
+++ b/packages/forwarding/src/CallerConnection.cpp
@@ -297,8 +297,11 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (!m_busy && m_pending.empty() && !m_parser.insideMessage()) {
-        m_closeAfter = true;
+    if (m_busy || !m_pending.empty() || m_parser.insideMessage()) {
+        return;
+    }
+    m_closeAfter = true;
+    if (m_out.empty()) { // otherwise it is closed once the caller has taken the rest of its last answer
         lingerClose();
     }
 }
@@ -319,7 +322,7 @@
         return;
     }
     if (!m_parser.insideMessage()) {
-        if (silent > m_limits.idleTimeout) {
+        if (silent > m_limits.idleTimeout && m_out.empty()) {
             closeIfIdle();
         }
         return;
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -253,8 +253,10 @@
 bool Exchange::mayRepeat() const
 {
     const auto& route = *m_request.route;
-    return (route.repeatable || route.resumable) && m_attempts < route.maxAttempts && std::chrono::steady_clock::now() < m_request.endsAt
-        && m_forwarder.claimRetry(m_request.service->name);
+    // Once a part of an answer has been passed on, only a stream of events can go on where it broke off: any other answer would
+    // consist of the bytes of two replicas.
+    const bool allowed = m_phase == Phase::Answering ? route.streaming && route.resumable : route.repeatable || route.resumable;
+    return allowed && m_attempts < route.maxAttempts && std::chrono::steady_clock::now() < m_request.endsAt && m_forwarder.claimRetry(m_request.service->name);
 }
 
 void Exchange::onAnswerBroken(ReplicaFailure failure)
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -6,6 +6,7 @@
 #include "siskinspread/HostRegistry.h"
 #include "siskinspread/HttpServer.h"
 #include "siskinspread/PeerExchange.h"
+#include "siskinspread/ProcessSignals.h"
 #include "siskinspread/StoreCalls.h"
 #include "siskinspread/StoreReader.h"
 
@@ -57,6 +58,7 @@
         , m_ticker(m_context)
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     {
+        unblockProcessSignals(); // main has blocked them
     }
 
     bool run(LastReason& reason)
--- a/packages/forwarding/src/HttpStreamParser.cpp
+++ b/packages/forwarding/src/HttpStreamParser.cpp
@@ -11,6 +11,9 @@
 
     // Names and values are counted by maxHeadBytes; the marks between them at most double a head of one-letter headers.
     constexpr size_t framingFactor = 2;
+    // RFC 9110, section 15. The library takes any three digits.
+    constexpr unsigned firstStatus = 100;
+    constexpr unsigned lastStatus = 599;
 
     /** The library takes names with spaces, which the next reader may take for another header (RFC 9112, section 5.1). */
     bool isHeaderName(std::string_view name)
@@ -144,6 +147,9 @@
         deliverRequestHead();
         return parser.upgrade != 0 ? -1 : 0;
     }
+    if (parser.status_code < firstStatus || parser.status_code > lastStatus) {
+        return -1;
+    }
     return deliverAnswerHead() ? 0 : 1;
 }
 
--- a/packages/forwarding/src/ReplicaConnection.cpp
+++ b/packages/forwarding/src/ReplicaConnection.cpp
@@ -228,7 +228,9 @@
 
 void ReplicaConnection::onClosed(const asio::error_code& error)
 {
-    if (m_busy && error == asio::error::eof && m_parser.finish()) {
+    // An answer that ends with its connection is complete only if the replica had the whole request when it closed.
+    const bool mayEndAnswer = m_busy && error == asio::error::eof && m_out.empty();
+    if (mayEndAnswer && m_parser.finish()) {
         m_reusable = false;
         onAnswerEnd();
         close();
