Placement: how long work takes at a replica, as the replica tells it and hosts tell each other

Cause: replicas of a service differ in speed by a factor of 2.7 and more in spells of other work on their machines; each of 82 hosts learnt that by itself from one request in 12 s at each replica. The fourth figure of X-Replica-Load tells it; hosts pass the usual value on with their loads.

--- a/packages/decisions/include/siskinspread/ReplicaPlacement.h
+++ b/packages/decisions/include/siskinspread/ReplicaPlacement.h
@@ -31,6 +31,7 @@
     uint32_t slots { 0 };
     uint64_t memoryTokens { 0 }; /**< Zero: a plain service, which has no prompt memory. */
     double slowness { 1.0 }; /**< Measured time to the first byte over the predicted one. */
+    double workFactor { 1.0 }; /**< How long work takes at the replica, as it says itself; 1.0 as usual for the service. */
     bool sameDomain { false };
     uint32_t residentTokens { 0 }; /**< Leading prompt tokens that this host saw the replica compute. */
 };
--- a/packages/decisions/src/ReplicaPlacement.cpp
+++ b/packages/decisions/src/ReplicaPlacement.cpp
@@ -38,12 +38,18 @@
         return best;
     }
 
+    /** What the replica says of itself, corrected by what this host sees of it. */
+    double delayFactor(const PlacementCandidate& candidate)
+    {
+        return candidate.slowness * candidate.workFactor;
+    }
+
     /** Time for a replica to read the prompts that it has, as a mean over the candidates. */
     double meanQueueUs(std::span<const PlacementCandidate> candidates, const PlacementOptions& options)
     {
         double sum = 0;
         for (const auto& candidate : candidates) {
-            sum += static_cast<double>(candidate.load.unreadTokens) / options.promptTokensPerMs * 1000.0 * candidate.slowness;
+            sum += static_cast<double>(candidate.load.unreadTokens) / options.promptTokensPerMs * 1000.0 * delayFactor(candidate);
         }
         return candidates.empty() ? 0.0 : sum / static_cast<double>(candidates.size());
     }
@@ -53,7 +59,7 @@
         double readingUs = (static_cast<double>(candidate.load.unreadTokens) + unread * readAgainWeight) / options.promptTokensPerMs * 1000.0;
         double batchUs = static_cast<double>(candidate.load.requests * options.batchCost.count());
         double awayUs = candidate.sameDomain ? 0.0 : static_cast<double>(options.otherDomainCost.count());
-        return (readingUs + batchUs) * candidate.slowness + awayUs;
+        return (readingUs + batchUs) * delayFactor(candidate) + awayUs;
     }
 
 } // namespace
@@ -111,9 +117,9 @@
     }
     size_t chosen = equal[request.draw % equal.size()];
     const auto& candidate = candidates[chosen];
-    const double usPerToken = 1000.0 / options.promptTokensPerMs * candidate.slowness;
+    const double usPerToken = 1000.0 / options.promptTokensPerMs * delayFactor(candidate);
     const double aheadUs = static_cast<double>(candidate.load.unreadTokens) * usPerToken;
-    const double waitUs = aheadUs + unread[chosen] * usPerToken + static_cast<double>(candidate.load.requests * options.batchCost.count()) * candidate.slowness;
+    const double waitUs = aheadUs + unread[chosen] * usPerToken + static_cast<double>(candidate.load.requests * options.batchCost.count()) * delayFactor(candidate);
     return Placement { .index = chosen,
         .predictedWait = std::chrono::microseconds { static_cast<int64_t>(waitUs) },
         .queueAhead = std::chrono::microseconds { static_cast<int64_t>(aheadUs) },
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -116,6 +116,8 @@
     void noteUnlimited(const Replica&, BootTime sentAt);
     /** Another host tells what it knows of a replica's limit. @param source for the log. */
     void noteLimit(uint64_t identity, const LimitEvidence&, std::string_view source);
+    /** Another host tells how long work usually takes at a replica. */
+    void noteWorkFactorTold(uint64_t identity, double usual);
     /** An incarnation leaves, as it or a peer has said; it is sent nothing new. @param source for the log. */
     void noteLeaving(uint64_t identity, std::string_view source);
     /** Asks a replica whether and when it leaves, unless it was asked lately. */
@@ -139,6 +141,7 @@
     bool dispatch(const std::shared_ptr<Exchange>&);
     static EngineRequest engineRequest(const Exchange&, const Placement&, const std::vector<PlacementCandidate>&, MonotonicTime now);
     void reviewReach(MonotonicTime now);
+    void noteReportedLoad(Replica&, const ReplicaAnswer&);
     void noteState(Replica&, const ReplicaState&, MonotonicTime askedAt);
     std::vector<PlacementCandidate> placementCandidates(const Exchange&, const std::vector<std::shared_ptr<Replica>>&, MonotonicTime now) const;
     std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now);
@@ -176,6 +179,7 @@
     PlacementOptions m_placement;
     EngineAdmissionOptions m_engineAdmission;
     ReplicaHealthOptions m_healthOptions;
+    WorkFactorOptions m_workFactorOptions;
     SharedQuotaOptions m_quotaOptions;
     std::mt19937_64 m_random { std::random_device {}() };
     std::map<uint64_t, std::shared_ptr<ReplicaCall>> m_stateCalls; /**< Questions that are not answered yet. */
--- a/packages/forwarding/include/siskinspread/PlatformAdapter.h
+++ b/packages/forwarding/include/siskinspread/PlatformAdapter.h
@@ -4,6 +4,7 @@
 #include "siskinspread/HttpHead.h"
 #include "siskinspread/LastReason.h"
 #include "siskinspread/ReplicaPlacement.h"
+#include "siskinspread/ReportedLoad.h"
 #include "siskinspread/RoutingConfiguration.h"
 
 #include <nlohmann/json.hpp>
@@ -65,6 +66,8 @@
     std::optional<std::chrono::milliseconds> pause; /**< For which the replica wants nothing from this host; above zero, an hour at most. */
     bool namesLimit { false }; /**< It says how many requests a second the replica takes. */
     std::optional<double> requestsPerSecond; /**< That limit, over all hosts together; not below zero. Empty: unreadable. */
+    bool namesLoad { false }; /**< It says something of the replica's load. */
+    std::optional<ReportedLoad> load; /**< Empty: none or unreadable. */
 };
 
 /** A replica as it registered itself. */
--- a/packages/forwarding/include/siskinspread/ReplicaDirectory.h
+++ b/packages/forwarding/include/siskinspread/ReplicaDirectory.h
@@ -22,6 +22,7 @@
     ReplicaLoad ownLoad;
     ReplicaLoad peerLoad;
     ReplicaHealth health;
+    WorkFactorEstimate workFactor;
     std::vector<std::shared_ptr<ReplicaConnection>> idle; /**< The most recently used last. */
     std::optional<std::chrono::milliseconds> idleTimeout; /**< As the replica told it. */
     std::unordered_map<uint64_t, MonotonicTime> residentParts; /**< Prompt parts by when this host last saw them computed here. */
@@ -31,6 +32,7 @@
     bool leavingByAnswer { false }; /**< An answer said that it leaves, so the store may not know of it. */
     std::optional<MonotonicTime> missingSince; /**< No longer in the store, which had been away. */
     std::optional<MonotonicTime> pausedUntil; /**< It has asked this host to send nothing until then. */
+    bool loadUnreadable { false }; /**< Its last load report was ignored; said once. */
     bool gone { false };
 };
 
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -154,6 +154,9 @@
     LoadsOfHost told;
     for (const auto& load : state.loads()) {
         told[load.replica()] = { .requests = load.requests(), .unreadTokens = load.unread_tokens(), .heldTokens = load.held_tokens() };
+        if (load.work_percent() > 0) {
+            m_forwarder.noteWorkFactorTold(load.replica(), load.work_percent() / 100.0);
+        }
     }
     replacePeerLoads(m_loads, state.host(), std::move(told), m_forwarder.replicas());
     m_forwarder.placeFreed();
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -1,6 +1,8 @@
 // The part of PeerExchange that tells the state of this host.
 #include "siskinspread/PeerExchange.h"
 
+#include <cmath>
+
 namespace siskinspread {
 
 namespace {
@@ -49,6 +51,9 @@
             load.set_requests(replica->ownLoad.requests);
             load.set_unread_tokens(replica->ownLoad.unreadTokens);
             load.set_held_tokens(replica->ownLoad.heldTokens);
+            if (replica->workFactor.latestAt != MonotonicTime {}) { // otherwise another host has told it
+                load.set_work_percent(static_cast<uint32_t>(std::lround(replica->workFactor.usual * 100.0)));
+            }
         }
     }
     if (m_forwarder.table()) {
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -77,6 +77,7 @@
             .slots = replica->entry.slots,
             .memoryTokens = request.service->engine ? request.service->engine->memoryTokens : 0,
             .slowness = replica->health.slowness,
+            .workFactor = workFactorAt(replica->workFactor, m_workFactorOptions, now),
             .sameDomain = replica->entry.failureDomain == m_settings.failureDomain,
             .residentTokens = residentTokens(*replica, request.caller.prompt, now),
         });
--- a/packages/forwarding/src/ReplicaStates.cpp
+++ b/packages/forwarding/src/ReplicaStates.cpp
@@ -69,6 +69,13 @@
     }
 }
 
+void Forwarder::noteWorkFactorTold(uint64_t identity, double usual)
+{
+    if (const auto replica = m_replicas.findIdentity(identity)) {
+        noteToldWorkFactor(replica->workFactor, m_workFactorOptions, usual);
+    }
+}
+
 void Forwarder::noteUnlimited(const Replica& replica, BootTime sentAt)
 {
     if (m_limits.noteUnnamed(replica.identity, sentAt)) {
@@ -84,6 +91,7 @@
     if (answer.requestsPerSecond && m_limits.noteNamed(replica->identity, *answer.requestsPerSecond)) {
         onLimitChanged(replica->identity, "an answer");
     }
+    noteReportedLoad(*replica, answer);
     if (answer.leaving) {
         noteLeaving(replica->identity, "an answer");
     }
@@ -95,6 +103,19 @@
     }
 }
 
+void Forwarder::noteReportedLoad(Replica& replica, const ReplicaAnswer& answer)
+{
+    if (!answer.namesLoad) {
+        return;
+    }
+    const bool believed = answer.load && (!answer.load->workFactor || noteWorkFactor(replica.workFactor, m_workFactorOptions, *answer.load->workFactor, std::chrono::steady_clock::now()));
+    m_metrics.countLoadReport(believed);
+    if (!believed && !replica.loadUnreadable) {
+        m_log.warning("load report of a replica ignored", { { "replica", replica.entry.instance }, { "why", answer.load ? "the time that work takes is out of range" : "unreadable" } });
+    }
+    replica.loadUnreadable = !believed;
+}
+
 void Forwarder::noteState(Replica& replica, const ReplicaState& state, MonotonicTime askedAt)
 {
     m_log.info("replica asked", { { "replica", replica.entry.instance }, { "leaving", state.leaving }, { "leaves_in_ms", state.leavesIn.value_or(milliseconds { -1 }) } });
