Callers: one account of the memory that is held for them; connections without progress are closed for others

Cause: bodies were gathered whole, twice, for any number of clients, and connections without progress kept all descriptors. Bodies over 64 KB are reserved before they are read on; everything else has a part of the memory of its own; a body is held once and shared with the connection that sends it; a length over the limit is refused at the head.

--- a/packages/decisions/include/siskinspread/ReplicaPlacement.h
+++ b/packages/decisions/include/siskinspread/ReplicaPlacement.h
@@ -32,6 +32,8 @@
     uint64_t memoryTokens { 0 }; /**< Zero: a plain service, which has no prompt memory. */
     double slowness { 1.0 }; /**< Measured time to the first byte over the predicted one. */
     double workFactor { 1.0 }; /**< How long work takes at the replica, as it says itself; 1.0 as usual for the service. */
+    double usualUnreadTokens { 0 }; /**< Of its peers' requests, over the last second or so: what they tell is older than a prompt takes to be read. */
+    std::chrono::microseconds otherSizeCost { 0 }; /**< Where the replica is for prompts of another size first. */
     bool sameDomain { false };
     uint32_t residentTokens { 0 }; /**< Leading prompt tokens that this host saw the replica compute. */
 };
--- a/packages/decisions/include/siskinspread/RoutingConfiguration.h
+++ b/packages/decisions/include/siskinspread/RoutingConfiguration.h
@@ -106,11 +106,15 @@
     /** @return the service of this name, or null. */
     const ServiceProfile* findService(std::string_view name) const;
 
+    /** @return the shortest latency target of the routes that may choose the service; zero where none has one. */
+    std::chrono::milliseconds shortestTarget(std::string_view service) const;
+
 private:
     RoutingConfiguration m_configuration;
     std::unordered_map<std::string, std::vector<const Route*>> m_routes; /**< By host in lower case, longest prefix first. */
     std::unordered_map<std::string_view, const Customer*> m_customers;
     std::unordered_map<std::string_view, const ServiceProfile*> m_services;
+    std::unordered_map<std::string_view, std::chrono::milliseconds> m_shortestTargets; /**< By service. */
 };
 
 /** @param draw uniform over all values. @return the service that the draw falls on; empty when the route names none. */
--- a/packages/decisions/include/siskinspread/SharedQuota.h
+++ b/packages/decisions/include/siskinspread/SharedQuota.h
@@ -26,6 +26,11 @@
      * what hosts do not know of each other yet. The rest covers what hosts spend before they hear of each other.
      */
     double givenPart { 0.4 };
+    /**
+     * Longest time of the rate that is kept as a burst. A larger burst, as a lowered rate leaves it, is spread over the window: a window may
+     * hold as much, and a customer that stays near its limit is not refused what every window has room for.
+     */
+    std::chrono::milliseconds longestBurst { 1000 };
 };
 
 /** @return the limit with what is given away of the tolerance. No limit stays none. Thread safety: reentrant. */
--- a/packages/decisions/src/ReplicaPlacement.cpp
+++ b/packages/decisions/src/ReplicaPlacement.cpp
@@ -29,9 +29,10 @@
         if (!part || candidates.empty()) {
             return std::nullopt;
         }
-        size_t best = 0;
-        for (size_t index = 1; index < candidates.size(); ++index) {
-            if (rendezvousRank(*part, candidates[index].identity) > rendezvousRank(*part, candidates[best].identity)) {
+        // A home among the replicas for prompts of another size would hardly be used, and the shared parts would be read everywhere.
+        std::optional<size_t> best;
+        for (size_t index = 0; index < candidates.size(); ++index) {
+            if (candidates[index].otherSizeCost.count() == 0 && (!best || rendezvousRank(*part, candidates[index].identity) > rendezvousRank(*part, candidates[*best].identity))) {
                 best = index;
             }
         }
@@ -54,12 +55,18 @@
         return candidates.empty() ? 0.0 : sum / static_cast<double>(candidates.size());
     }
 
+    /** Prompt tokens that are expected in front of a request. */
+    double queueOf(const PlacementCandidate& candidate)
+    {
+        return std::max(static_cast<double>(candidate.load.unreadTokens), candidate.usualUnreadTokens);
+    }
+
     double costOf(const PlacementCandidate& candidate, uint32_t unread, double readAgainWeight, const PlacementOptions& options)
     {
-        double readingUs = (static_cast<double>(candidate.load.unreadTokens) + unread * readAgainWeight) / options.promptTokensPerMs * 1000.0;
+        double readingUs = (queueOf(candidate) + unread * readAgainWeight) / options.promptTokensPerMs * 1000.0;
         double batchUs = static_cast<double>(candidate.load.requests * options.batchCost.count());
         double awayUs = candidate.sameDomain ? 0.0 : static_cast<double>(options.otherDomainCost.count());
-        return (readingUs + batchUs) * delayFactor(candidate) + awayUs;
+        return (readingUs + batchUs) * delayFactor(candidate) + awayUs + static_cast<double>(candidate.otherSizeCost.count());
     }
 
 } // namespace
--- a/packages/decisions/src/RoutingConfiguration.cpp
+++ b/packages/decisions/src/RoutingConfiguration.cpp
@@ -34,6 +34,20 @@
     for (const auto& service : m_configuration.services) {
         m_services.emplace(service.name, &service);
     }
+    for (const auto& route : m_configuration.routes) {
+        for (const auto& choice : route.services) {
+            if (route.latencyTarget.count() > 0) {
+                auto& shortest = m_shortestTargets.try_emplace(choice.service, route.latencyTarget).first->second;
+                shortest = std::min(shortest, route.latencyTarget);
+            }
+        }
+    }
+}
+
+std::chrono::milliseconds RoutingTable::shortestTarget(std::string_view service) const
+{
+    auto found = m_shortestTargets.find(service);
+    return found == m_shortestTargets.end() ? std::chrono::milliseconds { 0 } : found->second;
 }
 
 const Route* RoutingTable::findRoute(std::string_view host, std::string_view path) const
--- a/packages/decisions/src/SharedQuota.cpp
+++ b/packages/decisions/src/SharedQuota.cpp
@@ -34,7 +34,8 @@
     }
     const double seconds = std::chrono::duration<double>(tolerance.window).count();
     const double more = tolerance.givenPart * (tolerance.slack / seconds + tolerance.overshoot * limit.ratePerSecond);
-    return { .ratePerSecond = limit.ratePerSecond + more, .burst = limit.burst };
+    const double burst = std::min(limit.burst, limit.ratePerSecond * std::chrono::duration<double>(tolerance.longestBurst).count());
+    return { .ratePerSecond = limit.ratePerSecond + more + (limit.burst - burst) / seconds, .burst = burst };
 }
 
 void refreshQuota(SharedQuota& quota, const QuotaLimit& limit, const SharedQuotaOptions& options, MonotonicTime now)
--- a/packages/decisions/tests/SharedQuotaTest.cpp
+++ b/packages/decisions/tests/SharedQuotaTest.cpp
@@ -196,3 +196,20 @@
     CHECK(quota.level == doctest::Approx(before));
     CHECK(quota.peers.at("b").assumed == doctest::Approx(0));
 }
+
+// Guards against refusals of what every window has room for: a customer whose rate was lowered kept the burst of the earlier rate, which
+// a bucket gives only once, while the limit gives it in each window.
+TEST_CASE("a burst of several seconds of the rate is spread over the window, and no window holds more than before")
+{
+    const QuotaTolerance tolerance { .slack = 140000, .overshoot = 0.1 };
+    const double window = std::chrono::duration<double>(tolerance.window).count();
+    const QuotaLimit lowered { .ratePerSecond = 100000, .burst = 380000 };
+    const auto spread = limitWithTolerance(lowered, tolerance);
+    CHECK(spread.burst == doctest::Approx(100000));
+    CHECK(spread.ratePerSecond > 140000);
+    const double mostInWindow = spread.ratePerSecond * window + spread.burst;
+    CHECK(mostInWindow <= lowered.ratePerSecond * window + lowered.burst + tolerance.givenPart * (tolerance.slack + tolerance.overshoot * lowered.ratePerSecond * window) + 1);
+    const QuotaLimit usual { .ratePerSecond = 100000, .burst = 100000 };
+    CHECK(limitWithTolerance(usual, tolerance).burst == 100000);
+    CHECK(limitWithTolerance(usual, tolerance).ratePerSecond == doctest::Approx(100000 + tolerance.givenPart * (tolerance.slack / window + 10000)));
+}
--- a/packages/forwarding/include/siskinspread/CallerAcceptor.h
+++ b/packages/forwarding/include/siskinspread/CallerAcceptor.h
@@ -10,6 +10,9 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
 
 namespace siskinspread {
 
@@ -40,15 +43,25 @@
     void accept();
     void acceptLater();
     void add(asio::ip::tcp::socket);
-    /** Half of the descriptors: each request may need a connection to a replica as well. */
-    size_t maxCallers() const { return m_settings.maxDescriptors / 2; }
+    /** @return whether there is room for another connection, if need be after one without progress was closed. */
+    bool makeRoom();
+    /** Closes connections without progress while others need the memory that they hold. */
+    void reviewMemory();
+    using Choose = std::function<std::optional<size_t>(std::span<const SheddingCandidate>)>;
+    /** @return whether a connection was closed. */
+    bool shedOne(const Choose&, std::string_view reason);
+    size_t maxCallers() const;
 
     const ForwardingSettings& m_settings;
     HostLog& m_log;
     asio::ip::tcp::acceptor m_acceptor;
     asio::steady_timer m_timer;
+    std::shared_ptr<MemoryBudget> m_memory;
+    ForwardingMetrics& m_metrics;
     std::shared_ptr<const CallerConnectionHooks> m_hooks;
-    std::list<std::weak_ptr<CallerConnection>> m_callers;
+    std::list<std::weak_ptr<CallerConnection>> m_callers; /**< Oldest first. */
+    SheddingOptions m_shedding;
+    bool m_reviewing { false };
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/include/siskinspread/CallerConnection.h
+++ b/packages/forwarding/include/siskinspread/CallerConnection.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "siskinspread/ConnectionShedding.h"
 #include "siskinspread/HttpStreamParser.h"
+#include "siskinspread/MemoryBudget.h"
 #include "siskinspread/RoutingConfiguration.h"
 #include "siskinspread/Time.h"
 
@@ -20,7 +22,8 @@
 struct ReceivedRequest {
     std::shared_ptr<CallerConnection> connection;
     RequestHead head;
-    std::string body;
+    std::shared_ptr<const std::string> body; /**< Shared with the connections that send it; never null. */
+    HeldBytes memory; /**< Of the body. */
     MonotonicTime startedAt; /**< Arrival of its first byte. */
 };
 
@@ -30,6 +33,8 @@
     std::function<CallerLimits()> limits;
     std::function<bool()> closing; /**< Answers tell the caller to close the connection. */
     std::function<void(int status, std::string_view why)> onRefusal; /**< Bytes that are no request were refused. */
+    std::shared_ptr<MemoryBudget> memory {}; /**< Null: no limit. */
+    std::function<void()> onMemoryWanted {}; /**< The budget is exhausted, or a large body waits for a reservation. */
 };
 
 /**
@@ -63,6 +68,15 @@
     /** Ends connections that have been silent for too long. To be called every quarter of a second or so. */
     void checkTimes(MonotonicTime now);
 
+    /** What is to be known before a connection is closed for others. */
+    SheddingCandidate sheddingCandidate() const;
+    /** Refuses what the caller sends, or closes the connection where nothing can be answered. */
+    void shed();
+    /** Reserves memory for a large body that waits for it and reads on. @return whether it waits no more. */
+    bool tryReserve();
+    /** @return address and port of the caller, for logs. */
+    std::string callerAddress() const;
+
     bool isOpen() const { return m_open; }
     bool hasRequest() const { return m_busy; }
     size_t unwrittenBytes() const { return m_out.size(); }
@@ -80,6 +94,10 @@
     void finishAnswer();
     void lingerClose();
     void close();
+    /** @return whether the body may be read on. */
+    bool admitBody();
+    void accountForMemory();
+    void refuseForMemory();
 
     asio::ip::tcp::socket m_socket;
     std::shared_ptr<const CallerConnectionHooks> m_hooks;
@@ -89,6 +107,7 @@
     std::string m_out;
     RequestHead m_head;
     std::string m_body;
+    HeldBytes m_memory;
     CallerLimits m_limits;
     std::function<void()> m_onLeft;
     std::function<void()> m_onDrained;
@@ -103,6 +122,10 @@
     bool m_closeAfter { false };
     bool m_lingering { false };
     bool m_writing { false };
+    bool m_hadRequest { false };
+    bool m_waitsForMemory { false };
+    MonotonicTime m_waitsSince {};
+    MonotonicTime m_lingersSince {};
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -11,6 +11,7 @@
 #include "siskinspread/ReplicaLimits.h"
 #include "siskinspread/RetryBudget.h"
 #include "siskinspread/SharedQuota.h"
+#include "siskinspread/SizeBasedRouting.h"
 #include "siskinspread/TrueTime.h"
 #include "siskinspread/UsageWindows.h"
 #include "siskinspread/WaitOutlook.h"
@@ -143,6 +144,10 @@
     void reviewReach(MonotonicTime now);
     void noteReportedLoad(Replica&, const ReplicaAnswer&);
     void noteState(Replica&, const ReplicaState&, MonotonicTime askedAt);
+    /** Prefers the replicas for prompts of this size where the replicas tell how long work takes at them. */
+    void preferBySize(const Exchange&, const std::vector<std::shared_ptr<Replica>>&, std::vector<PlacementCandidate>&);
+    void noteSize(const AdmittedRequest&);
+    void smoothQueues(MonotonicTime now);
     std::vector<PlacementCandidate> placementCandidates(const Exchange&, const std::vector<std::shared_ptr<Replica>>&, MonotonicTime now) const;
     std::vector<std::shared_ptr<Replica>> candidatesFor(const Exchange&, MonotonicTime now);
     /** What a request that no replica can take now may hope for. */
@@ -180,6 +185,9 @@
     EngineAdmissionOptions m_engineAdmission;
     ReplicaHealthOptions m_healthOptions;
     WorkFactorOptions m_workFactorOptions;
+    SizeRoutingOptions m_sizeOptions;
+    std::unordered_map<std::string, SizeMix> m_sizeMixes; /**< By service. */
+    MonotonicTime m_queuesSmoothedAt {};
     SharedQuotaOptions m_quotaOptions;
     std::mt19937_64 m_random { std::random_device {}() };
     std::map<uint64_t, std::shared_ptr<ReplicaCall>> m_stateCalls; /**< Questions that are not answered yet. */
--- a/packages/forwarding/include/siskinspread/ForwardingMetrics.h
+++ b/packages/forwarding/include/siskinspread/ForwardingMetrics.h
@@ -29,6 +29,8 @@
     void countAnswer(int status, ResultCode result);
     void countRepeat(RepeatCause cause);
     void countNewConnection();
+    /** @param reason connections, memory or large_bodies. */
+    void countShedConnection(std::string_view reason);
     /** A replica has said something of its load. @param believed whether it was readable and in range. */
     void countLoadReport(bool believed);
     void countStoreCall(std::string_view purpose, bool answered);
--- a/packages/forwarding/include/siskinspread/ForwardingSettings.h
+++ b/packages/forwarding/include/siskinspread/ForwardingSettings.h
@@ -46,6 +46,8 @@
     bool ordersReplicas { false };
     size_t maxDescriptors { 1024 };
     size_t memoryBytes { 256U << 20 };
+    size_t largeBodyBytes { 0 }; /**< Of bodies over 64 KB, together; 0: a quarter of the memory. */
+    size_t maxCallers { 0 }; /**< Open connections; 0: half of the descriptors that are not reserved. */
     /** After a start callers wait this long for the first configuration before they are refused: a read of the store takes some 30 ms. */
     std::chrono::milliseconds startPatience { 400 };
     DeploymentBounds bounds;
--- a/packages/forwarding/include/siskinspread/HttpHead.h
+++ b/packages/forwarding/include/siskinspread/HttpHead.h
@@ -22,6 +22,7 @@
     std::string target; /**< Path and query as sent. */
     HttpHeaders headers;
     BodyFraming framing { BodyFraming::None };
+    uint64_t length { 0 }; /**< Where `framing` is Length. */
     bool keepAlive { true };
 };
 
--- a/packages/forwarding/include/siskinspread/ReplicaConnection.h
+++ b/packages/forwarding/include/siskinspread/ReplicaConnection.h
@@ -45,8 +45,11 @@
 public:
     ReplicaConnection(asio::io_context&, NetworkAddress);
 
-    /** Sends a request, on a new connection after connecting. Precondition: isIdle or never used. */
-    void send(std::string bytes, bool expectsBody, std::chrono::milliseconds connectTimeout, std::shared_ptr<AnswerObserver> observer);
+    /**
+     * Sends a request, on a new connection after connecting. Precondition: isIdle or never used.
+     * @param body follows `head`; shared, since it may be large and may have to be sent again. Null: none.
+     */
+    void send(std::string head, std::shared_ptr<const std::string> body, bool expectsBody, std::chrono::milliseconds connectTimeout, std::shared_ptr<AnswerObserver> observer);
 
     /** Closes the connection at once; no observer is called any more. */
     void close();
@@ -65,6 +68,8 @@
     void connect(std::chrono::milliseconds timeout);
     bool isClosedByReplica();
     void writeRequest();
+    size_t outBytes() const { return m_out.size() + (m_outBody ? m_outBody->size() : 0); }
+    bool isWritten() const { return m_out.empty(); }
     void read();
     void parse(std::string_view bytes);
     /** @return whether so much has arrived without the answer going on that no more is read. */
@@ -79,8 +84,9 @@
     NetworkAddress m_address;
     HttpStreamParser m_parser;
     std::array<char, 8192> m_buffer {};
-    std::string m_out;
-    size_t m_written { 0 };
+    std::string m_out; /**< Head of the request. */
+    std::shared_ptr<const std::string> m_outBody; /**< Null: none. */
+    size_t m_written { 0 }; /**< Of both together. */
     std::shared_ptr<AnswerObserver> m_observer; /**< Of the request in progress. */
     MonotonicTime m_idleSince {};
     bool m_open { true };
--- a/packages/forwarding/include/siskinspread/ReplicaDirectory.h
+++ b/packages/forwarding/include/siskinspread/ReplicaDirectory.h
@@ -23,6 +23,7 @@
     ReplicaLoad peerLoad;
     ReplicaHealth health;
     WorkFactorEstimate workFactor;
+    double usualUnreadTokens { 0 }; /**< Of own and peers' requests, smoothed. */
     std::vector<std::shared_ptr<ReplicaConnection>> idle; /**< The most recently used last. */
     std::optional<std::chrono::milliseconds> idleTimeout; /**< As the replica told it. */
     std::unordered_map<uint64_t, MonotonicTime> residentParts; /**< Prompt parts by when this host last saw them computed here. */
--- a/packages/forwarding/src/CallerConnection.cpp
+++ b/packages/forwarding/src/CallerConnection.cpp
@@ -12,6 +12,11 @@
     constexpr std::chrono::seconds bodyPause { 10 };
     // Time for a caller to read the last answer before the connection is given up.
     constexpr std::chrono::milliseconds lingerTime { 1000 };
+    // The same for a caller that goes on sending what is not wanted.
+    constexpr std::chrono::milliseconds longestLinger { 5000 };
+    // Within it the bodies that hold the memory end, or are found to be stalled (SheddingOptions).
+    constexpr std::chrono::milliseconds memoryPatience { 6000 };
+    constexpr const char* memoryRetryAfter = "1"; // seconds
     constexpr size_t headBudget = 512; // bytes that a typical head of an answer takes
 
     std::string headText(int status, std::string_view phrase, const HttpHeaders& headers)
@@ -41,13 +46,15 @@
           ParserHandlers {
               .onRequestHead = [this](RequestHead&& head) {
                   m_head = std::move(head);
-                  m_headSeen = true; },
+                  m_headSeen = true;
+                  m_bodyTooLarge = m_head.length > m_limits.maxBodyBytes; },
               .onBody = [this](std::string_view bytes) {
                   m_bodyTooLarge = m_bodyTooLarge || m_body.size() + bytes.size() > m_limits.maxBodyBytes;
                   if (!m_bodyTooLarge) {
                       m_body.append(bytes);
                   } },
           })
+    , m_memory(m_hooks->memory)
     , m_limits(m_hooks->limits())
 {
 }
@@ -60,7 +67,7 @@
 
 void CallerConnection::read()
 {
-    if (m_reading || !m_open) {
+    if (m_reading || !m_open || m_waitsForMemory) {
         return;
     }
     m_reading = true;
@@ -88,11 +95,100 @@
     if (!m_busy) {
         parsePending();
     }
-    if (m_open && m_pending.size() < maxPendingBytes) {
+    accountForMemory();
+    if (m_open && m_pending.size() < maxPendingBytes && admitBody()) {
         read();
     }
 }
 
+bool CallerConnection::admitBody()
+{
+    if (m_busy || m_lingering || !m_hooks->memory || m_memory.hasReservation() || m_body.size() < m_hooks->memory->options().smallBody) {
+        return true;
+    }
+    if (!tryReserve()) {
+        m_waitsForMemory = true;
+        m_waitsSince = m_lastActivity;
+        m_hooks->onMemoryWanted();
+    }
+    return !m_waitsForMemory;
+}
+
+bool CallerConnection::tryReserve()
+{
+    if (!m_open || m_lingering) {
+        m_waitsForMemory = false;
+        return true;
+    }
+    // What a body in chunks comes to is not known before its end.
+    const size_t needed = m_head.framing == BodyFraming::Length ? m_head.length : m_limits.maxBodyBytes;
+    if (!m_memory.reserve(needed)) {
+        return false;
+    }
+    m_body.reserve(needed); // growing step by step would hold up to three times the body
+    if (std::exchange(m_waitsForMemory, false)) {
+        m_lastActivity = std::chrono::steady_clock::now();
+        accountForMemory();
+        read();
+    }
+    return true;
+}
+
+void CallerConnection::accountForMemory()
+{
+    if (!m_hooks->memory) {
+        return;
+    }
+    m_memory.setUnreserved(m_pending.size() + m_out.size() + (m_memory.hasReservation() ? 0 : m_body.size()));
+    if (m_hooks->memory->isExhausted()) {
+        m_hooks->onMemoryWanted();
+    }
+}
+
+SheddingCandidate CallerConnection::sheddingCandidate() const
+{
+    SheddingCandidate candidate { .heldBytes = m_memory.bytes(), .lastProgress = m_lastActivity };
+    if (m_busy) {
+        candidate.stage = CallerStage::InProgress;
+    } else if (m_waitsForMemory) {
+        candidate.stage = CallerStage::WaitingForMemory;
+    } else if (!m_out.empty()) {
+        candidate.stage = CallerStage::WritingAnswer;
+    } else if (!m_hadRequest && !m_headSeen) {
+        candidate.stage = CallerStage::NoRequestYet;
+    } else if (m_parser.insideMessage()) {
+        candidate.stage = CallerStage::ReadingRequest;
+    }
+    return candidate;
+}
+
+void CallerConnection::shed()
+{
+    m_waitsForMemory = false;
+    if (!m_out.empty() || m_lingering || !m_parser.insideMessage()) {
+        abort();
+        return;
+    }
+    refuseForMemory();
+}
+
+/** The request has not run, since it has not come whole or has not been handed on. */
+void CallerConnection::refuseForMemory()
+{
+    m_body = {};
+    m_memory.clear();
+    m_hooks->onRefusal(503, "no memory or connection is free for the request");
+    m_busy = true;
+    respond(503, "Service Unavailable", { { "Retry-After", memoryRetryAfter } }, {}, true);
+}
+
+std::string CallerConnection::callerAddress() const
+{
+    asio::error_code error;
+    const auto remote = m_socket.remote_endpoint(error);
+    return error ? std::string {} : remote.address().to_string() + ":" + std::to_string(remote.port());
+}
+
 void CallerConnection::parsePending()
 {
     while (!m_pending.empty() && !m_busy && m_open && !m_lingering) {
@@ -121,14 +217,26 @@
 {
     m_busy = true;
     m_headSeen = false;
+    m_hadRequest = true;
     m_closeAfter = !m_head.keepAlive;
-    m_hooks->onRequest(ReceivedRequest { .connection = shared_from_this(), .head = std::move(m_head), .body = std::move(m_body), .startedAt = m_requestStart });
-    m_head = {};
-    m_body = {};
+    accountForMemory();
+    if (!m_memory.hasReservation() && m_hooks->memory && m_hooks->memory->isExhausted()) {
+        refuseForMemory(); // nothing could be closed for it: all that is held belongs to requests in progress
+        return;
+    }
+    auto body = std::make_shared<const std::string>(std::exchange(m_body, {}));
+    auto memory = m_memory.takeReservation();
+    if (!memory.hasReservation()) {
+        memory.setUnreserved(body->size());
+    }
+    accountForMemory();
+    m_hooks->onRequest(ReceivedRequest { .connection = shared_from_this(), .head = std::exchange(m_head, {}), .body = std::move(body), .memory = std::move(memory), .startedAt = m_requestStart });
 }
 
 void CallerConnection::refuse(int status, std::string_view phrase, std::string_view why)
 {
+    m_body = {};
+    m_memory.clear();
     m_hooks->onRefusal(status, why);
     m_busy = true;
     respond(status, phrase, {}, {}, true);
@@ -238,7 +346,10 @@
         return;
     }
     m_out.append(bytes);
-    continueWrite();
+    accountForMemory();
+    if (m_open) {
+        continueWrite();
+    }
 }
 
 void CallerConnection::continueWrite()
@@ -259,6 +370,10 @@
             return;
         }
         self->m_out.erase(0, error ? 0 : written);
+        if (written > 0) {
+            self->m_lastActivity = std::chrono::steady_clock::now();
+        }
+        self->accountForMemory();
         if (!self->m_out.empty()) {
             self->continueWrite();
             return;
@@ -278,7 +393,11 @@
         return;
     }
     m_lingering = true;
+    m_body = {};
+    m_pending = {};
+    m_memory.clear();
     m_lastActivity = std::chrono::steady_clock::now();
+    m_lingersSince = m_lastActivity;
     asio::error_code ignored; // the caller may have closed first
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     read();
@@ -313,7 +432,7 @@
     }
     const auto silent = now - m_lastActivity;
     if (m_lingering) {
-        if (silent > lingerTime) {
+        if (silent > lingerTime || now - m_lingersSince > longestLinger) {
             close();
         }
         return;
@@ -321,6 +440,12 @@
     if (m_busy) {
         return;
     }
+    if (m_waitsForMemory) {
+        if (now - m_waitsSince > memoryPatience) {
+            shed();
+        }
+        return;
+    }
     if (!m_parser.insideMessage()) {
         if (silent > m_limits.idleTimeout && m_out.empty()) {
             closeIfIdle();
@@ -339,6 +464,11 @@
         return;
     }
     m_open = false;
+    m_waitsForMemory = false;
+    m_body = {};
+    m_pending = {};
+    m_out = {};
+    m_memory.clear();
     asio::error_code ignored; // nothing is left to be done with the socket
     m_socket.close(ignored);
     m_onDrained = nullptr;
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -96,13 +96,12 @@
         order.memoryFrom = m_memoryFrom;
     }
     std::string bytes;
-    m_forwarder.adapter().encodeRequest(received.head, received.body.size(), order, bytes);
-    bytes.append(received.body);
+    m_forwarder.adapter().encodeRequest(received.head, received.body->size(), order, bytes);
     m_forwarder.log().info("request sent", { { "attempt", m_request.caller.attemptId }, { "replica", chosen.entry.instance }, { "try", m_attempts }, { "waited_ms", sinceMs(received.startedAt, now) }, { "predicted_ms", std::chrono::duration_cast<milliseconds>(placement.predictedWait) }, { "requests_there", chosen.ownLoad.requests + chosen.peerLoad.requests }, { "configuration", m_request.table->configuration().version }, { "new_connection", m_attempt.newConnection } });
     if (const auto tried = m_forwarder.crashes().noteSent(m_request.caller.prompt)) {
         m_forwarder.log().warning("suspected prompt part tried", { { "attempt", m_request.caller.attemptId }, { "part", partName(*tried) } });
     }
-    m_attempt.connection->send(std::move(bytes), received.head.method != "HEAD", connectTimeout, shared_from_this());
+    m_attempt.connection->send(std::move(bytes), received.body, received.head.method != "HEAD", connectTimeout, shared_from_this());
 }
 
 bool Exchange::onAnswerHead(AnswerHead&& head)
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -153,6 +153,7 @@
         return std::nullopt;
     }
     noteAsked(request.service->name);
+    noteSize(request);
     auto& budget = m_retries[request.service->name];
     depositRetryTokens(budget, request.customer != nullptr ? request.customer->name : std::string {}, std::chrono::steady_clock::now());
     return request;
@@ -306,6 +307,7 @@
     reviewReach(now);
     reviewCrashes();
     refreshQuotas(now);
+    smoothQueues(now);
     for (const auto& [instance, replica] : m_replicas.all()) {
         dropOldConnections(*replica, now);
     }
--- a/packages/forwarding/src/ForwardingMetrics.cpp
+++ b/packages/forwarding/src/ForwardingMetrics.cpp
@@ -48,6 +48,7 @@
         , answers(counters("siskinspread_forward_answers_total", "Final answers to callers"))
         , repeats(counters("siskinspread_forward_repeats_total", "Requests sent once more"))
         , storeCalls(counters("siskinspread_forward_store_calls_total", "Calls to the platform"))
+        , shedConnections(counters("siskinspread_forward_shed_connections_total", "Callers' connections closed for others"))
         , loadReports(counters("siskinspread_forward_load_reports_total", "Answers in which a replica told its load"))
         , newConnections(counters("siskinspread_forward_replica_connections_total", "New connections to replicas").Add({}))
         , latency(prometheus::BuildHistogram().Name("siskinspread_forward_seconds").Help("Time from a request's first byte").Labels(labels).Register(registry))
@@ -65,6 +66,7 @@
     Family<Counter>& answers;
     Family<Counter>& repeats;
     Family<Counter>& storeCalls;
+    Family<Counter>& shedConnections;
     Family<Counter>& loadReports;
     Counter& newConnections;
     Family<Histogram>& latency;
@@ -91,6 +93,11 @@
     m_series->repeats.Add({ { "cause", std::string { nameOf(cause) } } }).Increment();
 }
 
+void ForwardingMetrics::countShedConnection(std::string_view reason)
+{
+    m_series->shedConnections.Add({ { "reason", std::string { reason } } }).Increment();
+}
+
 void ForwardingMetrics::countLoadReport(bool believed)
 {
     m_series->loadReports.Add({ { "believed", believed ? "true" : "false" } }).Increment();
--- a/packages/forwarding/src/HttpStreamParser.cpp
+++ b/packages/forwarding/src/HttpStreamParser.cpp
@@ -119,6 +119,7 @@
         .target = std::move(target),
         .headers = std::move(headers),
         .framing = framing(),
+        .length = framing() == BodyFraming::Length ? parser.content_length : 0,
         .keepAlive = http_should_keep_alive(&parser) != 0 });
 }
 
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -2,6 +2,7 @@
 #include "siskinspread/Forwarder.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace siskinspread {
 
@@ -12,6 +13,14 @@
     constexpr size_t maxWaiting = 512; // requests; more could not be served before their deadlines
     // Waiting requests are refused when nothing proves the keys current any more; the store has usually been read by then.
     constexpr milliseconds outOfDateDelay { 500 };
+    // Longer than what peers tell is old (0.3 to 0.7 s between 80 hosts), shorter than replicas come and go.
+    constexpr double queueMemorySeconds = 1.0;
+
+    /** @return the tokens that no other request shares: at its home replica they are all that has to be read. */
+    uint32_t ownTokens(std::span<const PromptPart> prompt)
+    {
+        return prompt.empty() ? 0 : prompt.back().tokens;
+    }
 
 } // namespace
 
@@ -78,6 +87,7 @@
             .memoryTokens = request.service->engine ? request.service->engine->memoryTokens : 0,
             .slowness = replica->health.slowness,
             .workFactor = workFactorAt(replica->workFactor, m_workFactorOptions, now),
+            .usualUnreadTokens = replica->workFactor.isKnown ? replica->usualUnreadTokens : 0,
             .sameDomain = replica->entry.failureDomain == m_settings.failureDomain,
             .residentTokens = residentTokens(*replica, request.caller.prompt, now),
         });
@@ -85,6 +95,51 @@
     return candidates;
 }
 
+void Forwarder::preferBySize(const Exchange& exchange, const std::vector<std::shared_ptr<Replica>>& replicas, std::vector<PlacementCandidate>& candidates)
+{
+    using std::chrono::microseconds;
+    const auto& request = exchange.request();
+    const auto shortestTarget = m_table->shortestTarget(request.service->name);
+    const bool areTold = std::any_of(replicas.begin(), replicas.end(), [](const auto& replica) { return replica->workFactor.isKnown; });
+    if (!request.service->engine || shortestTarget.count() == 0 || !areTold) {
+        return;
+    }
+    std::vector<SizeRoutingReplica> members;
+    members.reserve(replicas.size());
+    for (const auto& replica : replicas) {
+        members.push_back({ .identity = replica->identity, .workFactor = replica->workFactor.usual });
+    }
+    const auto& mix = m_sizeMixes[request.service->name];
+    const auto forLong = replicasForLongPrompts(members, mix.longShare, m_sizeOptions);
+    if (forLong.empty()) {
+        return;
+    }
+    const bool isLong = isLongPrompt(ownTokens(request.caller.prompt), shortestTarget, m_sizeOptions);
+    // From then on waiting among the own size is worse than a place among the others.
+    const auto target = std::chrono::duration_cast<microseconds>(request.targetAt - request.received.startedAt);
+    for (size_t index = 0; index < candidates.size(); ++index) {
+        candidates[index].otherSizeCost = forLong[index] == isLong ? microseconds { 0 } : target / 4;
+    }
+}
+
+void Forwarder::noteSize(const AdmittedRequest& request)
+{
+    if (request.service->engine && !request.caller.prompt.empty()) {
+        const auto tokens = ownTokens(request.caller.prompt);
+        noteWork(m_sizeMixes[request.service->name], tokens, isLongPrompt(tokens, m_table->shortestTarget(request.service->name), m_sizeOptions), m_sizeOptions);
+    }
+}
+
+void Forwarder::smoothQueues(MonotonicTime now)
+{
+    const double kept = std::exp(-std::chrono::duration<double>(now - m_queuesSmoothedAt).count() / queueMemorySeconds);
+    m_queuesSmoothedAt = now;
+    for (const auto& [instance, replica] : m_replicas.all()) {
+        const auto known = static_cast<double>(replica->ownLoad.unreadTokens + replica->peerLoad.unreadTokens);
+        replica->usualUnreadTokens += (known - replica->usualUnreadTokens) * (1.0 - kept);
+    }
+}
+
 std::shared_ptr<Replica> Forwarder::moveTarget(const Exchange& exchange)
 {
     const auto now = std::chrono::steady_clock::now();
@@ -112,7 +167,8 @@
     const auto now = std::chrono::steady_clock::now();
     const auto replicas = candidatesFor(*exchange, now);
     const auto& request = exchange->request();
-    const auto candidates = placementCandidates(*exchange, replicas, now);
+    auto candidates = placementCandidates(*exchange, replicas, now);
+    preferBySize(*exchange, replicas, candidates);
     const PlacementRequest wanted { .prompt = request.caller.prompt, .outputTokens = request.caller.outputTokens.value_or(0), .draw = m_random() };
     auto placement = placeRequest(wanted, candidates, m_placement);
     if (!placement) {
--- a/packages/forwarding/src/ReplicaCall.cpp
+++ b/packages/forwarding/src/ReplicaCall.cpp
@@ -23,7 +23,7 @@
             self->end(std::nullopt, { .code = ResultCode::BackendError, .detail = "no answer in time" });
         }
     });
-    m_connection->send(std::move(bytes), true, timeout, shared_from_this());
+    m_connection->send(std::move(bytes), nullptr, true, timeout, shared_from_this());
 }
 
 void ReplicaCall::cancel()
--- a/packages/forwarding/src/ReplicaConnection.cpp
+++ b/packages/forwarding/src/ReplicaConnection.cpp
@@ -50,12 +50,13 @@
 {
 }
 
-void ReplicaConnection::send(std::string bytes, bool expectsBody, std::chrono::milliseconds connectTimeout, std::shared_ptr<AnswerObserver> observer)
+void ReplicaConnection::send(std::string head, std::shared_ptr<const std::string> body, bool expectsBody, std::chrono::milliseconds connectTimeout, std::shared_ptr<AnswerObserver> observer)
 {
     m_busy = true;
     m_expectsBody = expectsBody;
     m_observer = std::move(observer);
-    m_out = std::move(bytes);
+    m_out = std::move(head);
+    m_outBody = std::move(body);
     m_written = 0;
     m_paused = false;
     m_strayBytes = 0;
@@ -111,20 +112,25 @@
 void ReplicaConnection::writeRequest()
 {
     asio::error_code error;
-    m_written += m_socket.write_some(asio::buffer(m_out.data() + m_written, m_out.size() - m_written), error);
+    const std::string_view bodyBytes = m_outBody ? std::string_view { *m_outBody } : std::string_view {};
+    const size_t headWritten = std::min(m_written, m_out.size());
+    const size_t bodyWritten = m_written - headWritten;
+    const std::array<asio::const_buffer, 2> buffers { asio::buffer(m_out.data() + headWritten, m_out.size() - headWritten), asio::buffer(bodyBytes.data() + bodyWritten, bodyBytes.size() - bodyWritten) };
+    m_written += m_socket.write_some(buffers, error);
     if (error && error != asio::error::would_block) {
         // Nothing left this host on a fresh connection's first write that failed; a kept one may have taken earlier bytes.
         breakOff(m_written == 0 ? ReplicaFailure::ConnectFailed : ReplicaFailure::Reset);
         return;
     }
     read();
-    if (m_written == m_out.size()) {
+    if (m_written == outBytes()) {
         m_out.clear();
+        m_outBody.reset();
         m_written = 0;
         return;
     }
     m_socket.async_wait(asio::ip::tcp::socket::wait_write, [self = shared_from_this()](const asio::error_code& failed) {
-        if (!failed && self->m_open && self->m_busy && !self->m_out.empty()) {
+        if (!failed && self->m_open && self->m_busy && !self->isWritten()) {
             self->writeRequest();
         }
     });
@@ -220,7 +226,7 @@
     m_busy = false;
     m_idleSince = std::chrono::steady_clock::now();
     // A request that was answered before it was sent whole leaves bytes on the way: what follows would be taken for them.
-    m_reusable = m_reusable && m_out.empty();
+    m_reusable = m_reusable && isWritten();
     auto observer = std::move(m_observer);
     m_observer.reset();
     observer->onAnswerComplete();
@@ -229,7 +235,7 @@
 void ReplicaConnection::onClosed(const asio::error_code& error)
 {
     // An answer that ends with its connection is complete only if the replica had the whole request when it closed.
-    const bool mayEndAnswer = m_busy && error == asio::error::eof && m_out.empty();
+    const bool mayEndAnswer = m_busy && error == asio::error::eof && isWritten();
     if (mayEndAnswer && m_parser.finish()) {
         m_reusable = false;
         onAnswerEnd();
@@ -268,6 +274,7 @@
     }
     m_open = false;
     m_busy = false;
+    m_outBody.reset();
     m_timer.cancel();
     m_socket.close(ignored);
     m_observer.reset();
--- a/tests/process/UntrustedClientsTest.cpp
+++ b/tests/process/UntrustedClientsTest.cpp
@@ -338,7 +338,8 @@
 
 TEST_CASE("a crowd sends bodies of legal size piece by piece")
 {
-    play(crowdSize, [](CrowdClient& client) { announced(client, maxBodyBytes, maxBodyBytes, 8192); }, milliseconds { 5 });
+    play(
+        crowdSize, [](CrowdClient& client) { announced(client, maxBodyBytes, maxBodyBytes, 8192); }, milliseconds { 5 });
 }
 
 TEST_CASE("a crowd stops one piece short of the end of bodies of legal size and stays")
