--- a/tools/SettingsTable.cpp
+++ b/tools/SettingsTable.cpp
@@ -40,10 +40,22 @@
 of a backend server with two addresses; one address in two pools, or with two names, failure domains or prices.
 )";
 
+constexpr const char* platformSettings = R"(
+## Processes on the users' platform
+
+Their settings come from the platform; see [OPERATIONS.md](OPERATIONS.md). Two optional keys bound what callers may make a process hold
+([design](design/untrusted-clients.md)):
+
+| key | rule | default |
+| --- | --- | --- |
+| `limits.large_body_mb` | a number; 0 for the default | a quarter of `limits.memory_mb` |
+| `limits.max_callers` | a number; 0 for the default | half of `limits.max_fds` less 200, at least 64 |
+)";
+
 } // namespace
 
 int main()
 {
     std::cout << heading << siskinspread::settingsReference() << settingsContradictions
-              << siskinspread::serviceFileReference() << serviceContradictions;
+              << siskinspread::serviceFileReference() << serviceContradictions << platformSettings;
 }
