--- a/packages/decisions/include/siskinspread/ReplicaPlacement.h
+++ b/packages/decisions/include/siskinspread/ReplicaPlacement.h
@@ -33,7 +33,8 @@
     double slowness { 1.0 }; /**< Measured time to the first byte over the predicted one. */
     double workFactor { 1.0 }; /**< How long work takes at the replica, as it says itself; 1.0 as usual for the service. */
     double usualUnreadTokens { 0 }; /**< Of its peers' requests, over the last second or so: what they tell is older than a prompt takes to be read. */
-    std::chrono::microseconds otherSizeCost { 0 }; /**< Where the replica is for prompts of another size first. */
+    bool forOtherSize { false }; /**< The replica is for prompts of another size first; see SizeBasedRouting.h. */
+    std::chrono::microseconds otherSizeCost { 0 }; /**< What it costs to use it all the same. */
     bool sameDomain { false };
     uint32_t residentTokens { 0 }; /**< Leading prompt tokens that this host saw the replica compute. */
 };
@@ -76,6 +77,9 @@
  */
 std::optional<Placement> placeRequest(const PlacementRequest&, std::span<const PlacementCandidate>, const PlacementOptions&);
 
+/** @return the mean time for a replica to read the prompts that it has. Thread safety: reentrant. */
+std::chrono::microseconds meanQueue(std::span<const PlacementCandidate>, const PlacementOptions&);
+
 /** @return whether the replica has a place and memory for the request. Thread safety: reentrant. */
 bool hasPlaceFor(const PlacementCandidate&, uint64_t requestTokens);
 
--- a/packages/decisions/src/ReplicaPlacement.cpp
+++ b/packages/decisions/src/ReplicaPlacement.cpp
@@ -32,7 +32,7 @@
         // A home among the replicas for prompts of another size would hardly be used, and the shared parts would be read everywhere.
         std::optional<size_t> best;
         for (size_t index = 0; index < candidates.size(); ++index) {
-            if (candidates[index].otherSizeCost.count() == 0 && (!best || rendezvousRank(*part, candidates[index].identity) > rendezvousRank(*part, candidates[*best].identity))) {
+            if (!candidates[index].forOtherSize && (!best || rendezvousRank(*part, candidates[index].identity) > rendezvousRank(*part, candidates[*best].identity))) {
                 best = index;
             }
         }
@@ -85,6 +85,15 @@
     return prompt.first(prompt.empty() ? 0 : prompt.size() - 1);
 }
 
+std::chrono::microseconds meanQueue(std::span<const PlacementCandidate> candidates, const PlacementOptions& options)
+{
+    double sum = 0;
+    for (const auto& candidate : candidates) {
+        sum += queueOf(candidate) / options.promptTokensPerMs * 1000.0 * delayFactor(candidate);
+    }
+    return std::chrono::microseconds { candidates.empty() ? 0 : static_cast<int64_t>(sum / static_cast<double>(candidates.size())) };
+}
+
 bool hasPlaceFor(const PlacementCandidate& candidate, uint64_t requestTokens)
 {
     if (candidate.load.requests >= candidate.slots) {
--- a/packages/decisions/src/SizeBasedRouting.cpp
+++ b/packages/decisions/src/SizeBasedRouting.cpp
@@ -35,6 +35,12 @@
     mix.longShare += ((isLong ? 1.0 : 0.0) - mix.longShare) * weight;
 }
 
+std::chrono::microseconds otherSizeCost(std::chrono::microseconds target, std::chrono::microseconds meanQueue, const SizeRoutingOptions& options)
+{
+    const double room = std::clamp(1.0 - static_cast<double>(meanQueue.count()) / static_cast<double>(options.busyQueue.count()), 0.0, 1.0);
+    return std::chrono::microseconds { static_cast<int64_t>(static_cast<double>(target.count()) * options.costPart * room) };
+}
+
 std::vector<bool> replicasForLongPrompts(std::span<const SizeRoutingReplica> replicas, double longShare, const SizeRoutingOptions& options)
 {
     if (replicas.size() < options.leastReplicas) {
--- a/packages/decisions/tests/SizeBasedRoutingTest.cpp
+++ b/packages/decisions/tests/SizeBasedRoutingTest.cpp
@@ -79,6 +79,7 @@
         order[index] = order.size() - 1 - index;
     }
     std::vector<SizeRoutingReplica> turned;
+    turned.reserve(order.size());
     for (const auto index : order) {
         turned.push_back({ .identity = members[index].identity, .workFactor = members[index].workFactor * 1.02 });
     }
@@ -120,7 +121,7 @@
     const std::vector<PromptPart> prompt { { .id = 1, .tokens = 200 }, { .id = 2, .tokens = 600 } };
     std::vector<PlacementCandidate> candidates;
     for (uint64_t number = 0; number < 4; ++number) {
-        candidates.push_back({ .identity = number + 1, .slots = 8, .memoryTokens = 100000, .otherSizeCost = number < 2 ? microseconds { 125000 } : microseconds { 0 } });
+        candidates.push_back({ .identity = number + 1, .slots = 8, .memoryTokens = 100000, .forOtherSize = number < 2, .otherSizeCost = number < 2 ? microseconds { 125000 } : microseconds { 0 } });
     }
     const auto chosen = [&](uint64_t draw) { return placeRequest({ .prompt = prompt, .draw = draw }, candidates, {})->index; };
     for (uint64_t draw = 0; draw < 8; ++draw) {
@@ -132,3 +133,13 @@
         CHECK(chosen(draw) < 2);
     }
 }
+
+// Guards against groups that keep requests waiting while the other group has places: when replicas are lost, room counts more.
+TEST_CASE("the other group costs a quarter of the target while replicas have room, and nothing when all are busy")
+{
+    const microseconds target { 500000 };
+    CHECK(otherSizeCost(target, microseconds { 0 }, options) == microseconds { 125000 });
+    CHECK(otherSizeCost(target, microseconds { 50000 }, options) == microseconds { 62500 });
+    CHECK(otherSizeCost(target, microseconds { 100000 }, options) == microseconds { 0 });
+    CHECK(otherSizeCost(target, microseconds { 900000 }, options) == microseconds { 0 });
+}
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -115,10 +115,11 @@
         return;
     }
     const bool isLong = isLongPrompt(ownTokens(request.caller.prompt), shortestTarget, m_sizeOptions);
-    // From then on waiting among the own size is worse than a place among the others.
     const auto target = std::chrono::duration_cast<microseconds>(request.targetAt - request.received.startedAt);
+    const auto cost = otherSizeCost(target, meanQueue(candidates, m_placement), m_sizeOptions);
     for (size_t index = 0; index < candidates.size(); ++index) {
-        candidates[index].otherSizeCost = forLong[index] == isLong ? microseconds { 0 } : target / 4;
+        candidates[index].forOtherSize = forLong[index] != isLong;
+        candidates[index].otherSizeCost = candidates[index].forOtherSize ? cost : microseconds { 0 };
     }
 }
 
--- a/packages/forwarding/tests/AbandonedSendTest.cpp
+++ b/packages/forwarding/tests/AbandonedSendTest.cpp
@@ -26,7 +26,7 @@
     acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
     acceptor.listen();
     const auto connection = std::make_shared<ReplicaConnection>(context, NetworkAddress { "127.0.0.1", acceptor.local_endpoint().port() });
-    connection->send(std::string(requestBytes, 'x'), true, milliseconds { 5000 }, std::make_shared<NoAnswer>());
+    connection->send(std::string(requestBytes, 'x'), nullptr, true, milliseconds { 5000 }, std::make_shared<NoAnswer>());
     auto replica = std::make_shared<asio::ip::tcp::socket>(context);
     acceptor.async_accept(*replica, [&](const asio::error_code& error) {
         REQUIRE_FALSE(error);
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -42,7 +42,7 @@
         bytes += "X-Prompt-Prefix: a1:20," + std::string { crashesReplicas ? "dd:10," : "" } + "1:5\r\n";
     }
     bytes += "\r\n";
-    m_connection->send(std::move(bytes), true, connectTimeout, shared_from_this());
+    m_connection->send(std::move(bytes), nullptr, true, connectTimeout, shared_from_this());
 }
 
 void SoakCaller::close()
