--- a/packages/decisions/include/siskinspread/ConnectionShedding.h
+++ b/packages/decisions/include/siskinspread/ConnectionShedding.h
@@ -25,6 +25,7 @@
 struct SheddingCandidate {
     CallerStage stage { CallerStage::Idle };
     size_t heldBytes { 0 };
+    size_t unreservedBytes { 0 }; /**< Of them, those outside the reservation of a large body. */
     MonotonicTime lastProgress {}; /**< Bytes were last taken from or by the caller. */
 };
 
--- a/packages/decisions/src/ConnectionShedding.cpp
+++ b/packages/decisions/src/ConnectionShedding.cpp
@@ -28,7 +28,7 @@
 
 std::optional<size_t> shedForMemory(std::span<const SheddingCandidate> candidates)
 {
-    return longestWithoutProgress(candidates, [](const auto& candidate) { return candidate.stage != CallerStage::InProgress && candidate.heldBytes > 0; });
+    return longestWithoutProgress(candidates, [](const auto& candidate) { return candidate.stage != CallerStage::InProgress && candidate.unreservedBytes > 0; });
 }
 
 std::optional<size_t> shedForLargeBody(std::span<const SheddingCandidate> candidates, const SheddingOptions& options, MonotonicTime now)
--- a/packages/forwarding/include/siskinspread/MemoryBudget.h
+++ b/packages/forwarding/include/siskinspread/MemoryBudget.h
@@ -17,8 +17,11 @@
     size_t smallBody { 64U << 10U };
 };
 
-/** @return the budget of a host with this memory: three eighths of it. Thread safety: reentrant. */
-MemoryBudgetOptions memoryBudgetOf(size_t memoryBytes, size_t reservableShareBytes = 0);
+/**
+ * @param reservableBytes 0: a quarter of the memory.
+ * @return the budget of a host with this memory. Thread safety: reentrant.
+ */
+MemoryBudgetOptions memoryBudgetOf(size_t memoryBytes, size_t reservableBytes = 0);
 
 /** One account of the bytes that a host holds for callers. Thread safety: loop thread only. */
 class MemoryBudget {
@@ -67,6 +70,7 @@
     /** Hands the reservation over to the next owner of the body. */
     HeldBytes takeReservation();
     size_t bytes() const { return m_reserved + m_unreserved; }
+    size_t unreservedBytes() const { return m_unreserved; }
     void clear();
 
 private:
--- a/packages/forwarding/src/CallerConnection.cpp
+++ b/packages/forwarding/src/CallerConnection.cpp
@@ -147,7 +147,7 @@
 
 SheddingCandidate CallerConnection::sheddingCandidate() const
 {
-    SheddingCandidate candidate { .heldBytes = m_memory.bytes(), .lastProgress = m_lastActivity };
+    SheddingCandidate candidate { .heldBytes = m_memory.bytes(), .unreservedBytes = m_memory.unreservedBytes(), .lastProgress = m_lastActivity };
     if (m_busy) {
         candidate.stage = CallerStage::InProgress;
     } else if (m_waitsForMemory) {
@@ -447,8 +447,12 @@
         return;
     }
     if (!m_parser.insideMessage()) {
-        if (silent > m_limits.idleTimeout && m_out.empty()) {
-            closeIfIdle();
+        if (silent > m_limits.idleTimeout) {
+            if (m_out.empty()) {
+                closeIfIdle();
+            } else {
+                abort(); // the caller has taken nothing of its last answer for so long
+            }
         }
         return;
     }
