--- a/tests/process/support/ChildProcess.cpp
+++ b/tests/process/support/ChildProcess.cpp
@@ -18,6 +18,7 @@
 
     constexpr std::string_view listeningPrefix = "listening ";
     constexpr int execFailedExitCode = 127;
+    constexpr unsigned firstOtherDescriptor = 3;
 
     [[noreturn]] void throwErrno(const std::string& what)
     {
@@ -46,6 +47,8 @@
             const int error = open(errorFile, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
             dup2(error, STDERR_FILENO);
         }
+        // A child that keeps a copy of a stand-in's socket keeps its connection open when the stand-in closes it.
+        syscall(SYS_close_range, firstOtherDescriptor, ~0U, 0U);
         execv(argv[0], argv);
         _exit(execFailedExitCode);
     }
--- a/tests/soak/SoakHost.h
+++ b/tests/soak/SoakHost.h
@@ -40,6 +40,9 @@
     uint16_t readinessPort() const { return static_cast<uint16_t>(m_firstPort + 1); }
 
 private:
+    /** @return whether the process has written to its log. */
+    bool hasWritten() const;
+
     std::string m_program;
     std::string m_name;
     std::string m_address;
@@ -47,6 +50,7 @@
     std::string m_logFile;
     uint16_t m_firstPort { 0 };
     std::unique_ptr<testing::ChildProcess> m_process;
+    uintmax_t m_logSizeAtStart { 0 };
     bool m_killed { false };
     bool m_stopped { false };
     std::optional<std::string> m_unexpected;
