Crashing prompts: sound requests are not held back for crashes with other causes

For a part with sound answers the unexplained crashes now have to be three independent ones, and a part without any explains two crashes before it is suspected itself. A host that has just started, and knows a part of the reports only, does the same, and learns from its peers which parts have had sound answers. - A host whose loop stood still forgot the answers that had begun before, and kept its suspicion; it now judges them once it has read what broke. - An answer took back every report of its replica, also of a crash after it, where the connections had been reset a moment earlier.

--- a/packages/decisions/include/siskinspread/PromptQuarantine.h
+++ b/packages/decisions/include/siskinspread/PromptQuarantine.h
@@ -23,6 +23,8 @@
  */
 struct QuarantineOptions {
     size_t crashesNeeded { 3 }; /**< Independent crashes after which a part is suspected. */
+    /** Crashes after which a part without sound answers counts as another cause for one that has them. */
+    size_t crashesOfOtherCause { 2 };
     /** Crashes in one failure domain that are closer to each other happen together: a part explains most of them or none. */
     std::chrono::milliseconds simultaneous { 100 };
     /** A replica that answers a request that was sent sooner after its connections broke has not crashed. */
@@ -80,12 +82,29 @@
     std::vector<CrashReport> reports; /**< In the order in which they were noted. */
     std::unordered_map<uint64_t, SoundAnswer> sound; /**< By part. */
     std::unordered_map<uint64_t, BootTime> aliveAt; /**< Replicas that had not crashed, by when the request was sent that showed it. */
+    bool isComplete { true }; /**< Otherwise the host has just started: others have yet to tell it of crashes and of sound answers. */
+};
+
+/** A crash of a replica with requests in progress that had the same part. */
+struct PartCrash {
+    uint64_t replica { 0 };
+    uint64_t failureDomain { 0 };
+    BootTime sentAt; /**< Of the first request with the part. */
+    BootTime crashedAt;
+};
+
+/** Another part that may have caused some of the crashes of a part. */
+struct OtherCause {
+    uint64_t part { 0 };
+    std::vector<uint64_t> replicas; /**< That crashed with both, in ascending order. */
 };
 
 /** A part that is suspected of crashing replicas. */
 struct SuspectPart {
-    std::vector<uint64_t> replicas; /**< Incarnations that crashed with it, in ascending order. */
+    std::vector<PartCrash> crashes; /**< Oldest first. */
+    std::vector<OtherCause> otherCauses;
     BootTime heldUntil; /**< Requests with the part are held back; from then on some are tried. */
+    bool mayBeSound { false }; /**< An answer on the part has gone on lately, as far as this host can know. */
 };
 
 /** The suspected parts by their ids. */
@@ -119,11 +138,12 @@
 SuspectParts suspectParts(const CrashEvidence&, const QuarantineOptions&);
 
 /**
- * @return the part for which a request is to be held back. A suspected part is passed over where other suspected parts, which the
- * request lacks, were in progress at the same crashes: a part that occurs beside the one that crashes replicas is suspected as well
- * until an answer on it alone goes on. Thread safety: const.
+ * @return the part for which a request is to be held back. A suspected part is passed over where parts that the request lacks explain
+ * its crashes: a part that occurs beside the one that crashes replicas is suspected as well until an answer on it alone goes on. For a
+ * part on which answers have gone on lately, the crashes that nothing else explains have to be as many as for any suspicion: one
+ * connection that something on the way reset would otherwise hold back all requests that share it. Thread safety: const.
  */
-std::optional<uint64_t> decisivePart(const SuspectParts&, std::span<const PromptPart> sharedParts);
+std::optional<uint64_t> decisivePart(const SuspectParts&, std::span<const PromptPart> sharedParts, const QuarantineOptions&);
 
 /** @return how many hosts may try a request with the part. Thread safety: const. */
 size_t trialHosts(const SuspectPart&, const QuarantineOptions&, BootTime now);
--- a/packages/decisions/src/PromptQuarantine.cpp
+++ b/packages/decisions/src/PromptQuarantine.cpp
@@ -9,16 +9,8 @@
 
 namespace {
 
-    /** A crash of a replica with one part in progress. */
-    struct Crash {
-        uint64_t replica { 0 };
-        uint64_t failureDomain { 0 };
-        BootTime sentAt; /**< Of the first request with the part. */
-        BootTime crashedAt;
-    };
-
     /** Crashes by part, oldest first. */
-    using CrashesOfParts = std::unordered_map<uint64_t, std::vector<Crash>>;
+    using CrashesOfParts = std::unordered_map<uint64_t, std::vector<PartCrash>>;
 
     /** Replicas of one failure domain that crashed at the same time. */
     struct CrashGroups {
@@ -44,7 +36,7 @@
     }
 
     /** Leaves out crashes that happened together with as many at which the part was not in progress: it does not explain those. */
-    std::vector<Crash> withoutLostDomains(const std::vector<Crash>& crashes, const CrashGroups& groups)
+    std::vector<PartCrash> withoutLostDomains(const std::vector<PartCrash>& crashes, const CrashGroups& groups)
     {
         std::unordered_map<size_t, size_t> withPart;
         for (const auto& crash : crashes) {
@@ -52,8 +44,8 @@
                 ++withPart[group->second];
             }
         }
-        std::vector<Crash> kept;
-        std::copy_if(crashes.begin(), crashes.end(), std::back_inserter(kept), [&](const Crash& crash) {
+        std::vector<PartCrash> kept;
+        std::copy_if(crashes.begin(), crashes.end(), std::back_inserter(kept), [&](const PartCrash& crash) {
             const auto group = groups.ofReplica.find(crash.replica);
             return group == groups.ofReplica.end() || withPart[group->second] * 2 > groups.sizes[group->second];
         });
@@ -66,7 +58,7 @@
         for (const auto& report : evidence.reports) {
             for (const auto part : report.parts) {
                 auto& known = crashes[part];
-                auto same = std::find_if(known.begin(), known.end(), [&](const Crash& crash) { return crash.replica == report.replica; });
+                auto same = std::find_if(known.begin(), known.end(), [&](const PartCrash& crash) { return crash.replica == report.replica; });
                 if (same == known.end()) {
                     known.push_back({ .replica = report.replica, .failureDomain = report.failureDomain, .sentAt = report.sentAt, .crashedAt = report.crashedAt });
                 } else {
@@ -76,13 +68,13 @@
             }
         }
         for (auto& [part, known] : crashes) {
-            std::sort(known.begin(), known.end(), [](const Crash& a, const Crash& b) { return a.crashedAt < b.crashedAt; });
+            std::sort(known.begin(), known.end(), [](const PartCrash& a, const PartCrash& b) { return a.crashedAt < b.crashedAt; });
         }
         return crashes;
     }
 
     /** @return whether one event, such as the loss of a failure domain, cannot have been behind both crashes. */
-    bool isIndependent(const Crash& later, const Crash& earlier, const QuarantineOptions& options)
+    bool isIndependent(const PartCrash& later, const PartCrash& earlier, const QuarantineOptions& options)
     {
         const auto between = later.crashedAt - earlier.crashedAt;
         if (later.failureDomain == earlier.failureDomain) {
@@ -93,16 +85,16 @@
     }
 
     /** @return when the hold of the part ends; nothing while there are too few crashes to suspect it. */
-    std::optional<BootTime> heldUntil(const std::vector<Crash>& crashes, std::chrono::seconds firstHold, const QuarantineOptions& options)
+    std::optional<BootTime> heldUntil(const std::vector<PartCrash>& crashes, std::chrono::seconds firstHold, const QuarantineOptions& options)
     {
-        std::vector<const Crash*> independent;
+        std::vector<const PartCrash*> independent;
         auto hold = firstHold;
         std::optional<BootTime> last;
         for (const auto& crash : crashes) {
             if (last && crash.crashedAt - *last >= hold) {
                 hold = std::clamp(hold * 2, options.firstHold, options.longestHold);
             }
-            if (std::all_of(independent.begin(), independent.end(), [&](const Crash* counted) { return isIndependent(crash, *counted, options); })) {
+            if (std::all_of(independent.begin(), independent.end(), [&](const PartCrash* counted) { return isIndependent(crash, *counted, options); })) {
                 independent.push_back(&crash);
             }
             if (independent.size() >= options.crashesNeeded) {
@@ -112,6 +104,42 @@
         return last ? std::optional { *last + hold } : std::nullopt;
     }
 
+    /** @return the other parts that may have caused some of the crashes of a suspected part. */
+    std::vector<OtherCause> otherCauses(uint64_t part, const SuspectPart& suspect, const CrashesOfParts& crashes, const SuspectParts& suspects, const CrashEvidence& evidence, const QuarantineOptions& options)
+    {
+        std::vector<OtherCause> causes;
+        for (const auto& [other, crashesOfOther] : crashes) {
+            const bool isStronger = suspect.mayBeSound && !evidence.sound.contains(other) && crashesOfOther.size() >= options.crashesOfOtherCause;
+            if (other == part || !(isStronger || suspects.contains(other))) {
+                continue;
+            }
+            OtherCause cause { .part = other };
+            for (const auto& crash : crashesOfOther) {
+                if (std::any_of(suspect.crashes.begin(), suspect.crashes.end(), [&](const PartCrash& own) { return own.replica == crash.replica; })) {
+                    cause.replicas.push_back(crash.replica);
+                }
+            }
+            if (!cause.replicas.empty()) {
+                std::sort(cause.replicas.begin(), cause.replicas.end());
+                causes.push_back(std::move(cause));
+            }
+        }
+        return causes;
+    }
+
+    /** @return whether the part may have caused crashes under a request with these parts. */
+    bool isDecisive(const SuspectPart& suspect, std::span<const PromptPart> sharedParts, const QuarantineOptions& options)
+    {
+        const auto isInRequest = [&](uint64_t part) { return std::any_of(sharedParts.begin(), sharedParts.end(), [part](const PromptPart& other) { return other.id == part; }); };
+        auto unexplained = suspect.crashes;
+        for (const auto& cause : suspect.otherCauses) {
+            if (!isInRequest(cause.part)) {
+                std::erase_if(unexplained, [&](const PartCrash& crash) { return std::binary_search(cause.replicas.begin(), cause.replicas.end(), crash.replica); });
+            }
+        }
+        return suspect.mayBeSound ? heldUntil(unexplained, options.firstHold, options).has_value() : !unexplained.empty();
+    }
+
     void dropEmpty(CrashEvidence& evidence)
     {
         std::erase_if(evidence.reports, [](const CrashReport& report) { return report.parts.empty(); });
@@ -159,6 +187,15 @@
         return repeated;
     }
 
+    std::unordered_set<uint64_t> reportedParts(const CrashEvidence& evidence)
+    {
+        std::unordered_set<uint64_t> parts;
+        for (const auto& report : evidence.reports) {
+            parts.insert(report.parts.begin(), report.parts.end());
+        }
+        return parts;
+    }
+
     /** Keeps the entries that are told in this turn, so that all are told in turns that follow each other. */
     template <typename Entry>
     void takeTurn(std::vector<Entry>& entries, uint64_t turn, size_t most)
@@ -241,9 +278,20 @@
     if (crash == evidence.crashes.end() || sentAt < crash->second.at || sentAt - crash->second.at > options.shortestRestart) {
         return false;
     }
-    evidence.crashes.erase(crash);
     evidence.aliveAt[replica] = sentAt;
-    std::erase_if(evidence.reports, [replica](const CrashReport& report) { return report.replica == replica; });
+    // It may have crashed since, after its connections had broken once for another reason.
+    std::erase_if(evidence.reports, [&](const CrashReport& report) { return report.replica == replica && report.crashedAt <= sentAt; });
+    std::optional<BootTime> crashedSince;
+    for (const auto& report : evidence.reports) {
+        if (report.replica == replica) {
+            crashedSince = std::min(report.crashedAt, crashedSince.value_or(report.crashedAt));
+        }
+    }
+    if (crashedSince) {
+        crash->second.at = *crashedSince;
+    } else {
+        evidence.crashes.erase(crash);
+    }
     return true;
 }
 
@@ -280,35 +328,26 @@
 {
     SuspectParts suspects;
     const auto groups = groupsOf(evidence, options);
-    for (const auto& [part, crashes] : crashesOfParts(evidence)) {
+    const auto crashesByPart = crashesOfParts(evidence);
+    for (const auto& [part, crashes] : crashesByPart) {
         const auto counted = withoutLostDomains(crashes, groups);
         const bool wasSound = evidence.sound.contains(part);
         const auto until = heldUntil(counted, wasSound ? options.firstHoldOfSound : options.firstHold, options);
-        if (!until) {
-            continue;
-        }
-        auto& suspect = suspects[part];
-        suspect.heldUntil = *until;
-        for (const auto& crash : crashes) {
-            suspect.replicas.push_back(crash.replica);
+        if (until) {
+            suspects[part] = { .crashes = crashes, .heldUntil = *until, .mayBeSound = wasSound || !evidence.isComplete };
         }
-        std::sort(suspect.replicas.begin(), suspect.replicas.end());
+    }
+    for (auto& [part, suspect] : suspects) {
+        suspect.otherCauses = otherCauses(part, suspect, crashesByPart, suspects, evidence, options);
     }
     return suspects;
 }
 
-std::optional<uint64_t> decisivePart(const SuspectParts& suspects, std::span<const PromptPart> sharedParts)
+std::optional<uint64_t> decisivePart(const SuspectParts& suspects, std::span<const PromptPart> sharedParts, const QuarantineOptions& options)
 {
-    const auto contains = [&](uint64_t part) { return std::any_of(sharedParts.begin(), sharedParts.end(), [part](const PromptPart& other) { return other.id == part; }); };
-    const auto isExplained = [&](uint64_t replica) {
-        return std::any_of(suspects.begin(), suspects.end(), [&](const auto& entry) {
-            const auto& replicas = entry.second.replicas;
-            return !contains(entry.first) && std::binary_search(replicas.begin(), replicas.end(), replica);
-        });
-    };
     for (const auto& part : sharedParts) {
         const auto suspect = suspects.find(part.id);
-        if (suspect != suspects.end() && !std::all_of(suspect->second.replicas.begin(), suspect->second.replicas.end(), isExplained)) {
+        if (suspect != suspects.end() && isDecisive(suspect->second, sharedParts, options)) {
             return part.id;
         }
     }
@@ -337,8 +376,10 @@
             told.reports.push_back(&report);
         }
     }
+    // A host that joins has seen no answers yet: without these it would take each part of the reports for one that never had any.
+    const auto reported = whole ? reportedParts(evidence) : std::unordered_set<uint64_t> {};
     for (const auto& [part, sound] : evidence.sound) {
-        if (sound.clearedAt && now - *sound.clearedAt < options.toldFor) {
+        if ((sound.clearedAt && now - *sound.clearedAt < options.toldFor) || reported.contains(part)) {
             told.sound.push_back(part);
         }
     }
--- a/packages/decisions/tests/PromptQuarantineHostsTest.cpp
+++ b/packages/decisions/tests/PromptQuarantineHostsTest.cpp
@@ -116,7 +116,7 @@
         for (const auto part : parts) {
             prompt.push_back({ .id = part });
         }
-        return decisivePart(host.suspects, prompt).has_value();
+        return decisivePart(host.suspects, prompt, m_options).has_value();
     }
 
     void note(Host& host, CrashReport report)
--- a/packages/decisions/tests/PromptQuarantineTest.cpp
+++ b/packages/decisions/tests/PromptQuarantineTest.cpp
@@ -35,7 +35,7 @@
         noteCrash(evidence, { .id = replicas * 100, .replica = replicas, .failureDomain = domain, .sentAt = at - inProgress, .crashedAt = at, .parts = std::move(parts), .firstHand = true }, options, at);
     }
 
-    bool holds(std::initializer_list<uint64_t> parts) const { return decisivePart(suspectParts(evidence, options), prompt(parts)).has_value(); }
+    bool holds(std::initializer_list<uint64_t> parts) const { return decisivePart(suspectParts(evidence, options), prompt(parts), options).has_value(); }
 };
 
 /** Three replicas crash under the part, a second apart. */
@@ -138,6 +138,21 @@
     CHECK(evidenceToTell(observer.evidence, false, 0, observer.options, start + 3s).alive == std::vector<uint64_t> { report.replica });
 }
 
+// Guards against crashes being forgotten: an answer from before a crash took it back where the connections had been reset a moment earlier.
+TEST_CASE("an answer takes back what it follows and not a crash after it")
+{
+    auto observer = afterThreeCrashes();
+    const auto last = observer.evidence.reports.back();
+    auto reset = last;
+    reset.id += 1;
+    reset.crashedAt = last.crashedAt - 400ms;
+    reset.sentAt = reset.crashedAt - 50ms;
+    noteCrash(observer.evidence, reset, observer.options, last.crashedAt);
+    CHECK(noteAlive(observer.evidence, last.replica, last.crashedAt - 200ms, observer.options));
+    CHECK(observer.holds({ crashingPart }));
+    CHECK(crashOf(observer.evidence, last.replica, start) == last.crashedAt);
+}
+
 TEST_CASE("replicas of one failure domain that crash together count once for a part at most of them, and not at all for others")
 {
     Observer observer;
@@ -173,6 +188,63 @@
     }
 }
 
+// Guards against sound requests being refused: a reset on the way beside three crashes of one part held back every request of its customer.
+TEST_CASE("a part with sound answers is suspected only for crashes that no other part explains")
+{
+    Observer observer;
+    noteSound(observer.evidence, firstPart, start - 1s, start - 500ms);
+    for (uint64_t i = 0; i < 3; ++i) {
+        observer.crash(start + i * 1s, i, { firstPart, crashingPart });
+    }
+    observer.crash(start + 3s, 3, { firstPart });
+    observer.crash(start + 4s, 4, { firstPart });
+    CHECK_FALSE(observer.holds({ firstPart }));
+    CHECK(observer.holds({ firstPart, crashingPart }));
+    observer.crash(start + 5s, 5, { firstPart });
+    CHECK(observer.holds({ firstPart }));
+}
+
+// Guards against the same while a report of the crashing part has not arrived yet, so that this part is not suspected itself.
+TEST_CASE("a part with sound answers is not suspected for crashes at two of which a part without any was in progress")
+{
+    Observer observer;
+    noteSound(observer.evidence, firstPart, start - 1s, start - 500ms);
+    observer.crash(start, 0, { firstPart, crashingPart });
+    observer.crash(start + 1s, 1, { firstPart, crashingPart });
+    observer.crash(start + 2s, 2, { firstPart });
+    CHECK_FALSE(observer.holds({ firstPart }));
+}
+
+// Guards against the same while a host that has just started knows a part of the reports only, and no sound answers.
+TEST_CASE("a host that has just started takes a part for a suspect only for crashes that no other part explains")
+{
+    Observer observer;
+    observer.evidence.isComplete = false;
+    observer.crash(start, 0, { firstPart, crashingPart });
+    observer.crash(start + 1s, 1, { firstPart, crashingPart });
+    observer.crash(start + 2s, 2, { firstPart });
+    CHECK_FALSE(observer.holds({ firstPart }));
+    observer.crash(start + 3s, 3, { firstPart, crashingPart });
+    CHECK_FALSE(observer.holds({ firstPart }));
+    CHECK(observer.holds({ firstPart, crashingPart }));
+    observer.evidence.isComplete = true;
+    CHECK(observer.holds({ firstPart }));
+}
+
+// Guards against sound requests being refused at a host that has just started: it has seen no answers, and learnt of the crashes only.
+TEST_CASE("a host that joins learns which parts of the reports have had sound answers")
+{
+    Observer observer;
+    for (uint64_t i = 0; i < 3; ++i) {
+        observer.crash(start + i * 1s, i, { firstPart, crashingPart });
+    }
+    observer.crash(start + 3s, 3, { firstPart });
+    noteSound(observer.evidence, firstPart, start - 1s, start);
+    noteSound(observer.evidence, otherPart, start - 1s, start);
+    CHECK(evidenceToTell(observer.evidence, true, 0, observer.options, start + 4s).sound == std::vector<uint64_t> { firstPart });
+    CHECK(evidenceToTell(observer.evidence, false, 0, observer.options, start + 4s).sound.empty());
+}
+
 TEST_CASE("two parts that crash replicas do not bring the part that they share under suspicion")
 {
     Observer observer;
--- a/packages/forwarding/include/siskinspread/CrashWatch.h
+++ b/packages/forwarding/include/siskinspread/CrashWatch.h
@@ -83,22 +83,36 @@
         std::weak_ptr<const ReplicaConnection> connection;
     };
 
+    /** Signs of life of a replica that follow each other sooner than it could have started again in between. */
+    struct UnbrokenLife {
+        BootTime since;
+        BootTime until;
+    };
+
     const SuspectParts& suspects();
     bool mayTry(uint64_t part, const SuspectPart&, BootTime now) const;
-    void judge(const BegunAnswer&, BootTime now);
+    /** @return whether nothing more can be learnt from the answer. */
+    bool judge(const BegunAnswer&, BootTime now);
+    void judgeBegun(BootTime now);
+    void noteSignOfLife(uint64_t replica, BootTime at);
+    bool wentOn(const BegunAnswer&) const;
     void report(const PromptAttempt&, BootTime crashedAt);
 
     std::string m_self;
     std::vector<std::string> m_hosts;
+    BootTime m_startedAt;
     QuarantineOptions m_options;
     CrashEvidence m_evidence;
     SuspectParts m_suspects;
     bool m_suspectsCurrent { true };
     std::deque<BegunAnswer> m_begun; /**< Oldest first. */
+    std::deque<BegunAnswer> m_unproven; /**< Whose connections have closed, until the replica answers again; oldest first. */
+    std::unordered_map<uint64_t, UnbrokenLife> m_lives; /**< By replica. */
     std::unordered_map<uint64_t, BootTime> m_trials; /**< When this host last tried a part. */
     SuspectParts m_told; /**< As of the last review. */
     BootTime m_forgotAt;
     BootTime m_reviewedAt;
+    BootTime m_judgeFrom; /**< Later than now after the loop has stood still. */
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/src/CrashWatch.cpp
+++ b/packages/forwarding/src/CrashWatch.cpp
@@ -17,11 +17,21 @@
     // A crash within this time after an answer has begun may have come from it.
     constexpr milliseconds crashWindow { 1000 };
     constexpr milliseconds forgetInterval { 1000 };
-    // Between two reviews, after which the loop has stood still: what has broken meanwhile may not have been read yet.
+    // Between two reviews, after which the loop has stood still: what has broken meanwhile may not have been read yet. Answers are
+    // not judged for as long after it.
     constexpr milliseconds longestPause { 250 };
+    // For which an answer whose connection has closed waits for its replica to answer again: a few times the shortest time in which a
+    // replica starts again, since the answer to the later request may itself take a while.
+    constexpr milliseconds unprovenKept { 5000 };
+    constexpr size_t maxUnproven { 1024 };
+    // Answers that are judged later while the loop stands still again and again.
+    constexpr size_t maxBegun { 4096 };
     // A trial whose answer has neither begun nor been cut off by then says nothing.
     constexpr std::chrono::seconds trialTime { 10 };
 
+    // In which the peers of a host that has started tell it what they know, in several messages each.
+    constexpr std::chrono::seconds joiningTime { 3 };
+
     constexpr size_t maxPartsLogged = 8;
 
 } // namespace
@@ -44,7 +54,9 @@
 CrashWatch::CrashWatch(std::string self)
     : m_self(std::move(self))
     , m_hosts { m_self }
+    , m_startedAt(BootClock::now())
 {
+    m_evidence.isComplete = false;
 }
 
 const SuspectParts& CrashWatch::suspects()
@@ -63,7 +75,8 @@
 
 void CrashWatch::noteBegun(PromptAttempt attempt, std::weak_ptr<const ReplicaConnection> connection)
 {
-    if (!attempt.parts.empty()) {
+    noteSignOfLife(attempt.replica, BootClock::now());
+    if (!attempt.parts.empty() && m_begun.size() < maxBegun) {
         m_begun.push_back({ .attempt = std::move(attempt), .begunAt = BootClock::now(), .connection = std::move(connection) });
     }
 }
@@ -92,23 +105,49 @@
 
 void CrashWatch::noteAlive(uint64_t replica, BootTime sentAt)
 {
+    noteSignOfLife(replica, sentAt);
     if (siskinspread::noteAlive(m_evidence, replica, sentAt, m_options)) {
         m_suspectsCurrent = false;
     }
 }
 
-/** The connection shows whether the replica went on, also where the answer was complete before the replica crashed. */
-void CrashWatch::judge(const BegunAnswer& answer, BootTime now)
+void CrashWatch::noteSignOfLife(uint64_t replica, BootTime at)
+{
+    auto& life = m_lives.try_emplace(replica, UnbrokenLife { .since = at, .until = at }).first->second;
+    if (at > life.until + m_options.shortestRestart) {
+        life.since = at;
+    }
+    life.until = std::max(life.until, at);
+}
+
+/**
+ * The connection shows whether the replica went on, also where the answer was complete before the replica crashed. Where the connection
+ * has closed, at the end of the answer or because the caller left, later answers of the replica show it.
+ */
+bool CrashWatch::wentOn(const BegunAnswer& answer) const
 {
     if (const auto connection = answer.connection.lock(); connection && connection->isOpen()) {
+        return true;
+    }
+    const auto life = m_lives.find(answer.attempt.replica);
+    return life != m_lives.end() && life->second.since <= answer.begunAt && life->second.until >= answer.begunAt + soundAfter;
+}
+
+bool CrashWatch::judge(const BegunAnswer& answer, BootTime now)
+{
+    if (wentOn(answer)) {
         for (const auto part : answer.attempt.parts) {
             if (noteSound(m_evidence, part, answer.begunAt, now)) {
                 m_suspectsCurrent = false;
             }
         }
-    } else if (const auto crashedAt = crashOf(m_evidence, answer.attempt.replica, answer.begunAt); crashedAt && *crashedAt - answer.begunAt < crashWindow) {
+        return true;
+    }
+    const auto crashedAt = crashOf(m_evidence, answer.attempt.replica, answer.begunAt);
+    if (crashedAt && *crashedAt - answer.begunAt < crashWindow) {
         report(answer.attempt, *crashedAt);
     }
+    return crashedAt.has_value();
 }
 
 bool CrashWatch::mayTry(uint64_t part, const SuspectPart& suspect, BootTime now) const
@@ -124,7 +163,7 @@
     if (suspects().empty()) {
         return std::nullopt;
     }
-    const auto part = decisivePart(m_suspects, sharedParts(prompt));
+    const auto part = decisivePart(m_suspects, sharedParts(prompt), m_options);
     if (!part) {
         return std::nullopt;
     }
@@ -139,27 +178,42 @@
 
 std::optional<uint64_t> CrashWatch::noteSent(std::span<const PromptPart> prompt)
 {
-    const auto part = suspects().empty() ? std::nullopt : decisivePart(m_suspects, sharedParts(prompt));
+    const auto part = suspects().empty() ? std::nullopt : decisivePart(m_suspects, sharedParts(prompt), m_options);
     if (part) {
         m_trials[*part] = BootClock::now();
     }
     return part;
 }
 
+void CrashWatch::judgeBegun(BootTime now)
+{
+    std::erase_if(m_unproven, [&](const BegunAnswer& answer) { return judge(answer, now) || now - answer.begunAt > unprovenKept; });
+    while (!m_begun.empty() && now - m_begun.front().begunAt >= soundAfter) {
+        if (!judge(m_begun.front(), now) && m_unproven.size() < maxUnproven) {
+            m_unproven.push_back(std::move(m_begun.front()));
+        }
+        m_begun.pop_front();
+    }
+}
+
 std::vector<SuspicionChange> CrashWatch::review()
 {
     const auto now = BootClock::now();
     if (now - m_reviewedAt > longestPause) {
-        m_begun.clear();
+        m_judgeFrom = now + longestPause;
     }
     m_reviewedAt = now;
-    while (!m_begun.empty() && now - m_begun.front().begunAt >= soundAfter) {
-        judge(m_begun.front(), now);
-        m_begun.pop_front();
+    if (!m_evidence.isComplete && now - m_startedAt >= joiningTime) {
+        m_evidence.isComplete = true;
+        m_suspectsCurrent = false;
+    }
+    if (now >= m_judgeFrom) {
+        judgeBegun(now);
     }
     if (now - m_forgotAt >= forgetInterval) {
         m_forgotAt = now;
         forgetOld(m_evidence, suspects(), m_options, now);
+        std::erase_if(m_lives, [&](const auto& life) { return now - life.second.until > unprovenKept; });
         std::erase_if(m_trials, [&](const auto& trial) { return now - trial.second >= trialTime; });
         m_suspectsCurrent = m_evidence.reports.empty() && m_suspects.empty();
     }
@@ -167,7 +221,7 @@
     for (const auto& [part, suspect] : suspects()) {
         const auto told = m_told.find(part);
         if (told == m_told.end() || suspect.heldUntil > told->second.heldUntil) {
-            changes.push_back({ .part = part, .suspected = true, .crashes = suspect.replicas.size(), .heldUntil = suspect.heldUntil });
+            changes.push_back({ .part = part, .suspected = true, .crashes = suspect.crashes.size(), .heldUntil = suspect.heldUntil });
         }
     }
     for (const auto& [part, suspect] : m_told) {
