Store: what changes between two pages of a list is seen

The watch now begins at the revision of the first page, and changes that a later page has shown already are passed over.

--- a/packages/forwarding/include/siskinspread/StoreFeed.h
+++ b/packages/forwarding/include/siskinspread/StoreFeed.h
@@ -90,6 +90,7 @@
     bool applyBatch(FeedBatch&);
     void record(uint64_t from, uint64_t asOf, std::vector<FeedChange>&&);
     std::vector<FeedChange> changesByList(const std::vector<StoreDocument>&, bool recovering);
+    bool isKnown(const StoreChange&) const;
     void noteKnown(const StoreChange&);
     void becomeReachable();
     void list(std::string_view after);
@@ -107,6 +108,7 @@
     StoreFeedHandlers m_handlers;
     asio::steady_timer m_timer;
     std::vector<StoreDocument> m_documents; /**< Pages of a list that is not complete yet. */
+    std::optional<uint64_t> m_listedFrom; /**< Revision that the first page of the list shows. */
     std::optional<uint64_t> m_asOf; /**< Empty: to be listed again. */
     std::optional<uint64_t> m_listedTo; /**< Revision up to which everything is known, also while a new list is on its way. */
     std::chrono::milliseconds m_delay { 0 };
--- a/packages/forwarding/src/StoreFeed.cpp
+++ b/packages/forwarding/src/StoreFeed.cpp
@@ -32,6 +32,7 @@
 {
     if (after.empty()) {
         m_documents.clear();
+        m_listedFrom.reset();
     }
     const auto askedAt = BootClock::now();
     m_calls.start(m_options.purpose, m_adapter.listDocuments(m_options.collection, after), [this, askedAt](const TransferEnded& ended) { onListed(ended, askedAt); });
@@ -46,6 +47,8 @@
         return;
     }
     std::move(page->documents.begin(), page->documents.end(), std::back_inserter(m_documents));
+    // Later pages show later revisions, so what changes between two pages is known only from a watch that begins with the first.
+    m_listedFrom = m_listedFrom.value_or(page->asOf);
     if (page->truncated && !m_documents.empty()) {
         list(m_documents.back().name);
         return;
@@ -56,8 +59,8 @@
     m_documents = {};
     auto changes = changesByList(documents, recovering);
     // Without a list before this one, there is nothing that the changes would join up with.
-    record(m_listedTo.value_or(page->asOf), page->asOf, m_listedTo ? std::move(changes) : std::vector<FeedChange> {});
-    m_asOf = page->asOf;
+    record(m_listedTo.value_or(*m_listedFrom), *m_listedFrom, m_listedTo ? std::move(changes) : std::vector<FeedChange> {});
+    m_asOf = m_listedFrom;
     m_askedAt = askedAt;
     m_newsIncomplete = false;
     m_handlers.onList(std::move(documents), recovering);
@@ -163,6 +166,9 @@
     record(*m_asOf, batch.asOf, std::vector<FeedChange> { batch.changes });
     m_asOf = batch.asOf;
     for (auto& change : batch.changes) {
+        if (isKnown(change.change)) {
+            continue;
+        }
         noteKnown(change.change);
         m_handlers.onChange(std::move(change.change), change.recovering);
     }
@@ -227,6 +233,16 @@
     return changes;
 }
 
+/** @return whether a list has shown this state of the document or a later one. A removal may name the last revision before it. */
+bool StoreFeed::isKnown(const StoreChange& change) const
+{
+    const auto known = m_known.find(change.document.name);
+    if (known == m_known.end()) {
+        return false;
+    }
+    return change.removed ? change.document.revision < known->second : change.document.revision <= known->second;
+}
+
 void StoreFeed::noteKnown(const StoreChange& change)
 {
     if (change.removed) {
