--- a/packages/forwarding/include/siskinspread/RolloutWatch.h
+++ b/packages/forwarding/include/siskinspread/RolloutWatch.h
@@ -54,8 +54,10 @@
     void removeOrder(const std::string& document);
     /** All orders that the store holds are known. */
     void noteListed() { m_listed = true; }
-    /** To be called every 50 ms or so. */
-    void review(const ReplicaDirectory&);
+    /** Replicas have come, or started again as others. Looks at all of them, so it is called on changes only. */
+    void noteReplicas(const ReplicaDirectory&);
+    /** Judges the versions on trial. To be called every 50 ms or so. */
+    void review();
 
     // On the path of a request.
     /**
--- a/packages/forwarding/include/siskinspread/StoreReader.h
+++ b/packages/forwarding/include/siskinspread/StoreReader.h
@@ -26,7 +26,8 @@
     void applyConfiguration(const StoreDocument&);
     void applyRollout(const StoreDocument&);
     void applyReplicaList(const std::vector<StoreDocument>&, bool recovering);
-    void applyReplica(const StoreDocument&);
+    /** @return whether the replica has come, has started again or leaves. */
+    bool applyReplica(const StoreDocument&);
     void loseReplica(const std::string& instance, bool recovering, std::string_view why);
     void logReachable(std::string_view feed, bool reachable, std::string_view why);
     void logSource(std::string_view feed, bool follows, std::string_view why);
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -307,7 +307,7 @@
 {
     reviewReach(now);
     reviewCrashes();
-    m_rollouts.review(m_replicas);
+    m_rollouts.review();
     refreshQuotas(now);
     smoothQueues(now);
     for (const auto& [instance, replica] : m_replicas.all()) {
--- a/packages/forwarding/src/RolloutWatch.cpp
+++ b/packages/forwarding/src/RolloutWatch.cpp
@@ -79,29 +79,31 @@
     std::erase_if(m_orders, [&](const auto& entry) { return entry.second.document == document; });
 }
 
-void RolloutWatch::review(const ReplicaDirectory& replicas)
+void RolloutWatch::noteReplicas(const ReplicaDirectory& replicas)
 {
-    if (m_options.canaryShare <= 0) {
+    if (m_options.canaryShare <= 0 || m_needsOrders) {
         return;
     }
-    if (!m_needsOrders) {
-        std::unordered_map<std::string, std::map<std::string, size_t>> versions;
-        for (const auto& [instance, replica] : replicas.all()) {
-            if (!replica->gone) {
-                ++versions[replica->entry.service][replica->entry.version];
-            }
+    std::unordered_map<std::string, std::map<std::string, size_t>> versions;
+    for (const auto& [instance, replica] : replicas.all()) {
+        if (!replica->gone) {
+            ++versions[replica->entry.service][replica->entry.version];
         }
-        for (const auto& [service, counts] : versions) {
-            if (counts.size() == 1) {
-                m_soleVersions[service] = counts.begin()->first;
-                continue;
-            }
-            m_needsOrders = true;
-            // A host that starts in the middle of a rollout takes the version of most replicas for the one before.
-            const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-            m_soleVersions.try_emplace(service, most->first);
+    }
+    for (const auto& [service, counts] : versions) {
+        if (counts.size() == 1) {
+            m_soleVersions[service] = counts.begin()->first;
+            continue;
         }
+        m_needsOrders = true;
+        // A host that starts in the middle of a rollout takes the version of most replicas for the one before.
+        const auto most = std::max_element(counts.begin(), counts.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+        m_soleVersions.try_emplace(service, most->first);
     }
+}
+
+void RolloutWatch::review()
+{
     for (auto& [service, record] : m_orders) {
         if (isOpen(record.state)) {
             judge(record);
--- a/packages/forwarding/src/StoreReader.cpp
+++ b/packages/forwarding/src/StoreReader.cpp
@@ -96,8 +96,8 @@
         .onChange = [this](StoreChange&& change, bool recovering) {
             if (change.removed) {
                 loseReplica(change.document.name, recovering, "its entry was removed");
-            } else {
-                applyReplica(change.document);
+            } else if (applyReplica(change.document)) {
+                m_forwarder.rollouts().noteReplicas(m_forwarder.replicas());
             } },
         .onCurrent = [](BootTime) {},
         .onReachable = [this](bool reachable, std::string_view why) { logReachable("replicas", reachable, why); },
@@ -161,6 +161,7 @@
         listed.insert(document.name);
         applyReplica(document);
     }
+    m_forwarder.rollouts().noteReplicas(m_forwarder.replicas());
     for (const auto& instance : m_forwarder.replicas().instances()) {
         if (!listed.contains(instance)) {
             loseReplica(instance, recovering, "its entry is not listed");
@@ -168,23 +169,24 @@
     }
 }
 
-void StoreReader::applyReplica(const StoreDocument& document)
+bool StoreReader::applyReplica(const StoreDocument& document)
 {
     LastReason reason;
     auto entry = m_adapter.decodeReplica(document, reason);
     if (!entry) {
         m_log.warning("replica entry passed over", { { "replica", document.name }, { "why", reason.detail } });
-        return;
+        return false;
     }
     const auto change = m_forwarder.replicas().apply(*entry);
     if (change == ReplicaDirectory::Change::Updated) {
-        return;
+        return false;
     }
     m_log.info("replica known", { { "replica", entry->instance }, { "service", entry->service }, { "domain", entry->failureDomain }, { "leaving", entry->leaving }, { "reclaimable", entry->reclaimable }, { "restarted", change == ReplicaDirectory::Change::Restarted }, { "revision", document.revision } });
     if (entry->leaving && entry->reclaimable) {
         m_forwarder.suspectReclaim(entry->service, entry->failureDomain);
     }
     m_forwarder.placeFreed();
+    return true;
 }
 
 void StoreReader::loseReplica(const std::string& instance, bool recovering, std::string_view why)
