Crashing prompts: fast crashes in one failure domain count apart

Cause: all replicas of the soak are in one zone, and crashes in one failure domain within 1 s of each other counted as one, since hosts may see the loss of a domain at different times.

A report now says when the newest request was sent that the replica answered. Where that is later than the earlier crash, the domain was not lost then, and 0.1 s between the crashes is enough. For parts with sound answers in the last minute, and while a host has just started, the second stays: a domain whose replicas are lost one after the other brings no such part under suspicion.

Ruled out: evidence that was lost with the killed host (the other three saw the crashes); the trial after the hold (it starts 30 s after the last crash for a part without sound answers).

Before: CrashingPromptTest sends 6 of 6 requests to a replica after five crashes, PromptQuarantineTest's case fails; seen by disabling the new condition.

CrashWatch: the times at which a replica was seen running get plain names.

--- a/packages/decisions/include/siskinspread/PromptQuarantine.h
+++ b/packages/decisions/include/siskinspread/PromptQuarantine.h
@@ -29,7 +29,10 @@
     std::chrono::milliseconds simultaneous { 100 };
     /** A replica that answers a request that was sent sooner after its connections broke has not crashed. */
     std::chrono::milliseconds shortestRestart { 1000 };
-    /** Crashes in one failure domain within this time count as one: hosts may see the loss of a domain at different times. */
+    /**
+     * Crashes in one failure domain within this time count as one, since hosts may see the loss of a domain at different times. For a
+     * part without sound answers, crashes count apart where the second replica answered a request that was sent after the first crash.
+     */
     std::chrono::milliseconds domainLossTime { 1000 };
     /** As above in different failure domains, where both requests were in progress at the first crash. */
     std::chrono::milliseconds commonCauseTime { 500 };
@@ -59,6 +62,7 @@
     uint64_t failureDomain { 0 }; /**< Hash of the name. */
     BootTime sentAt; /**< When the request was sent to the replica. */
     BootTime crashedAt;
+    std::optional<BootTime> answeredAt; /**< When the newest request was sent that the replica answered or began to answer. */
     std::vector<uint64_t> parts; /**< Shared parts of the prompt without those on which answers have gone on since. */
     bool firstHand { false }; /**< The request was this host's. */
     BootTime notedAt; /**< When this host learned of it. */
@@ -91,6 +95,7 @@
     uint64_t failureDomain { 0 };
     BootTime sentAt; /**< Of the first request with the part. */
     BootTime crashedAt;
+    std::optional<BootTime> answeredAt; /**< As CrashReport::answeredAt; the newest. */
 };
 
 /** Another part that may have caused some of the crashes of a part. */
--- a/packages/decisions/src/PromptQuarantine.cpp
+++ b/packages/decisions/src/PromptQuarantine.cpp
@@ -60,10 +60,11 @@
                 auto& known = crashes[part];
                 auto same = std::find_if(known.begin(), known.end(), [&](const PartCrash& crash) { return crash.replica == report.replica; });
                 if (same == known.end()) {
-                    known.push_back({ .replica = report.replica, .failureDomain = report.failureDomain, .sentAt = report.sentAt, .crashedAt = report.crashedAt });
+                    known.push_back({ .replica = report.replica, .failureDomain = report.failureDomain, .sentAt = report.sentAt, .crashedAt = report.crashedAt, .answeredAt = report.answeredAt });
                 } else {
                     same->sentAt = std::min(same->sentAt, report.sentAt);
                     same->crashedAt = std::min(same->crashedAt, report.crashedAt);
+                    same->answeredAt = std::max(same->answeredAt, report.answeredAt);
                 }
             }
         }
@@ -73,19 +74,23 @@
         return crashes;
     }
 
-    /** @return whether one event, such as the loss of a failure domain, cannot have been behind both crashes. */
-    bool isIndependent(const PartCrash& later, const PartCrash& earlier, const QuarantineOptions& options)
+    /**
+     * @return whether one event, such as the loss of a failure domain, cannot have been behind both crashes. A domain whose replicas are
+     * lost one after the other brings no part under suspicion on which answers have gone on lately.
+     */
+    bool isIndependent(const PartCrash& later, const PartCrash& earlier, bool mayBeSound, const QuarantineOptions& options)
     {
         const auto between = later.crashedAt - earlier.crashedAt;
         if (later.failureDomain == earlier.failureDomain) {
-            return between > options.domainLossTime;
+            const bool answeredBetween = !mayBeSound && later.answeredAt && *later.answeredAt > earlier.crashedAt + options.timeTolerance;
+            return between > (answeredBetween ? options.simultaneous : options.domainLossTime);
         }
         const bool wasInProgress = later.sentAt + options.timeTolerance < earlier.crashedAt;
         return between > (wasInProgress ? options.commonCauseTime : std::chrono::milliseconds { 0 });
     }
 
     /** @return when the hold of the part ends; nothing while there are too few crashes to suspect it. */
-    std::optional<BootTime> heldUntil(const std::vector<PartCrash>& crashes, std::chrono::seconds firstHold, const QuarantineOptions& options)
+    std::optional<BootTime> heldUntil(const std::vector<PartCrash>& crashes, bool mayBeSound, std::chrono::seconds firstHold, const QuarantineOptions& options)
     {
         std::vector<const PartCrash*> independent;
         auto hold = firstHold;
@@ -94,7 +99,7 @@
             if (last && crash.crashedAt - *last >= hold) {
                 hold = std::clamp(hold * 2, options.firstHold, options.longestHold);
             }
-            if (std::all_of(independent.begin(), independent.end(), [&](const PartCrash* counted) { return isIndependent(crash, *counted, options); })) {
+            if (std::all_of(independent.begin(), independent.end(), [&](const PartCrash* counted) { return isIndependent(crash, *counted, mayBeSound, options); })) {
                 independent.push_back(&crash);
             }
             if (independent.size() >= options.crashesNeeded) {
@@ -137,7 +142,7 @@
                 std::erase_if(unexplained, [&](const PartCrash& crash) { return std::binary_search(cause.replicas.begin(), cause.replicas.end(), crash.replica); });
             }
         }
-        return suspect.mayBeSound ? heldUntil(unexplained, options.firstHold, options).has_value() : !unexplained.empty();
+        return suspect.mayBeSound ? heldUntil(unexplained, true, options.firstHold, options).has_value() : !unexplained.empty();
     }
 
     void dropEmpty(CrashEvidence& evidence)
@@ -242,6 +247,7 @@
     if (known != evidence.reports.end()) {
         known->sentAt = std::min(known->sentAt, report.sentAt);
         known->crashedAt = std::min(known->crashedAt, report.crashedAt);
+        known->answeredAt = std::max(known->answeredAt, report.answeredAt);
         return false;
     }
     if (report.parts.empty()) {
@@ -332,9 +338,10 @@
     for (const auto& [part, crashes] : crashesByPart) {
         const auto counted = withoutLostDomains(crashes, groups);
         const bool wasSound = evidence.sound.contains(part);
-        const auto until = heldUntil(counted, wasSound ? options.firstHoldOfSound : options.firstHold, options);
+        const bool mayBeSound = wasSound || !evidence.isComplete;
+        const auto until = heldUntil(counted, mayBeSound, wasSound ? options.firstHoldOfSound : options.firstHold, options);
         if (until) {
-            suspects[part] = { .crashes = crashes, .heldUntil = *until, .mayBeSound = wasSound || !evidence.isComplete };
+            suspects[part] = { .crashes = crashes, .heldUntil = *until, .mayBeSound = mayBeSound };
         }
     }
     for (auto& [part, suspect] : suspects) {
--- a/packages/decisions/tests/PromptQuarantineHostsTest.cpp
+++ b/packages/decisions/tests/PromptQuarantineHostsTest.cpp
@@ -191,9 +191,16 @@
     void crash(size_t index, BootTime at)
     {
         auto& replica = m_replicas[index];
+        std::map<size_t, BootTime> answeredAt;
+        for (const auto& run : replica.runs) {
+            if (run.beginsAt <= at) {
+                answeredAt[run.host] = std::max(answeredAt[run.host], run.sentAt);
+            }
+        }
         for (const auto& run : replica.runs) {
             if (at < run.beginsAt + crashWindow) {
-                note(m_hosts[run.host], { .id = run.id, .replica = replica.identity, .failureDomain = index % m_deployment.domains, .sentAt = run.sentAt, .crashedAt = at, .parts = run.parts, .firstHand = true });
+                const auto answered = answeredAt.find(run.host);
+                note(m_hosts[run.host], { .id = run.id, .replica = replica.identity, .failureDomain = index % m_deployment.domains, .sentAt = run.sentAt, .crashedAt = at, .answeredAt = answered == answeredAt.end() ? std::nullopt : std::optional { answered->second }, .parts = run.parts, .firstHand = true });
             }
         }
         replica = { .identity = ++m_identities, .downUntil = at + downTime };
--- a/packages/decisions/tests/PromptQuarantineTest.cpp
+++ b/packages/decisions/tests/PromptQuarantineTest.cpp
@@ -71,6 +71,47 @@
     CHECK_FALSE(observer.holds({ crashingPart }));
 }
 
+// Guards against a part that crashes the replicas of one failure domain fast: five crashes within 0.9 s counted as one (soak, seed 9103).
+TEST_CASE("crashes in one failure domain count apart where each replica answered after the one before")
+{
+    Observer observer;
+    const auto crash = [&](std::chrono::milliseconds after, std::optional<std::chrono::milliseconds> answeredAfter) {
+        observer.crash(start + after, 0, { crashingPart }, 40ms);
+        if (answeredAfter) {
+            observer.evidence.reports.back().answeredAt = start + *answeredAfter;
+        }
+    };
+    crash(0ms, -40ms);
+    crash(353ms, 313ms);
+    CHECK_FALSE(observer.holds({ crashingPart }));
+    SUBCASE("not where the last one did not answer in between")
+    {
+        crash(885ms, 300ms);
+        CHECK_FALSE(observer.holds({ crashingPart }));
+    }
+    SUBCASE("not where nothing is known of its answers")
+    {
+        crash(885ms, std::nullopt);
+        CHECK_FALSE(observer.holds({ crashingPart }));
+    }
+    SUBCASE("not where they crashed together")
+    {
+        crash(440ms, 400ms);
+        CHECK_FALSE(observer.holds({ crashingPart }));
+    }
+    SUBCASE("not where an answer on the part has gone on lately")
+    {
+        noteSound(observer.evidence, crashingPart, start - 1s, start - 500ms);
+        crash(885ms, 845ms);
+        CHECK_FALSE(observer.holds({ crashingPart }));
+    }
+    SUBCASE("where all of them did")
+    {
+        crash(885ms, 845ms);
+        CHECK(observer.holds({ crashingPart }));
+    }
+}
+
 TEST_CASE("replicas of several failure domains that crash while all requests are in progress count as one crash")
 {
     Observer observer;
--- a/packages/forwarding/include/siskinspread/CrashWatch.h
+++ b/packages/forwarding/include/siskinspread/CrashWatch.h
@@ -83,10 +83,11 @@
         std::weak_ptr<const ReplicaConnection> connection;
     };
 
-    /** Signs of life of a replica that follow each other sooner than it could have started again in between. */
-    struct UnbrokenLife {
+    /** Times at which a replica was seen running, each followed by the next sooner than it could have restarted in between. */
+    struct RunningSpan {
         BootTime since;
         BootTime until;
+        BootTime answeredAt; /**< As CrashReport::answeredAt. */
     };
 
     const SuspectParts& suspects();
@@ -94,7 +95,7 @@
     /** @return whether nothing more can be learnt from the answer. */
     bool judge(const BegunAnswer&, BootTime now);
     void judgeBegun(BootTime now);
-    void noteSignOfLife(uint64_t replica, BootTime at);
+    void noteRunning(uint64_t replica, BootTime sentAt, BootTime seenAt);
     bool wentOn(const BegunAnswer&) const;
     void report(const PromptAttempt&, BootTime crashedAt);
 
@@ -107,7 +108,7 @@
     bool m_suspectsCurrent { true };
     std::deque<BegunAnswer> m_begun; /**< Oldest first. */
     std::deque<BegunAnswer> m_unproven; /**< Whose connections have closed, until the replica answers again; oldest first. */
-    std::unordered_map<uint64_t, UnbrokenLife> m_lives; /**< By replica. */
+    std::unordered_map<uint64_t, RunningSpan> m_running; /**< By replica. */
     std::unordered_map<uint64_t, BootTime> m_trials; /**< When this host last tried a part. */
     SuspectParts m_told; /**< As of the last review. */
     BootTime m_forgotAt;
--- a/packages/forwarding/src/CrashWatch.cpp
+++ b/packages/forwarding/src/CrashWatch.cpp
@@ -70,12 +70,22 @@
 
 void CrashWatch::report(const PromptAttempt& attempt, BootTime crashedAt)
 {
-    noteTold({ .id = attempt.id, .replica = attempt.replica, .failureDomain = attempt.failureDomain, .sentAt = attempt.sentAt, .crashedAt = crashedAt, .parts = attempt.parts, .firstHand = true });
+    const auto running = m_running.find(attempt.replica);
+    noteTold({
+        .id = attempt.id,
+        .replica = attempt.replica,
+        .failureDomain = attempt.failureDomain,
+        .sentAt = attempt.sentAt,
+        .crashedAt = crashedAt,
+        .answeredAt = running == m_running.end() ? std::nullopt : std::optional { running->second.answeredAt },
+        .parts = attempt.parts,
+        .firstHand = true,
+    });
 }
 
 void CrashWatch::noteBegun(PromptAttempt attempt, std::weak_ptr<const ReplicaConnection> connection)
 {
-    noteSignOfLife(attempt.replica, BootClock::now());
+    noteRunning(attempt.replica, attempt.sentAt, BootClock::now());
     if (!attempt.parts.empty() && m_begun.size() < maxBegun) {
         m_begun.push_back({ .attempt = std::move(attempt), .begunAt = BootClock::now(), .connection = std::move(connection) });
     }
@@ -105,19 +115,20 @@
 
 void CrashWatch::noteAlive(uint64_t replica, BootTime sentAt)
 {
-    noteSignOfLife(replica, sentAt);
+    noteRunning(replica, sentAt, sentAt);
     if (siskinspread::noteAlive(m_evidence, replica, sentAt, m_options)) {
         m_suspectsCurrent = false;
     }
 }
 
-void CrashWatch::noteSignOfLife(uint64_t replica, BootTime at)
+void CrashWatch::noteRunning(uint64_t replica, BootTime sentAt, BootTime seenAt)
 {
-    auto& life = m_lives.try_emplace(replica, UnbrokenLife { .since = at, .until = at }).first->second;
-    if (at > life.until + m_options.shortestRestart) {
-        life.since = at;
+    auto& running = m_running.try_emplace(replica, RunningSpan { .since = seenAt, .until = seenAt, .answeredAt = sentAt }).first->second;
+    if (seenAt > running.until + m_options.shortestRestart) {
+        running.since = seenAt;
     }
-    life.until = std::max(life.until, at);
+    running.until = std::max(running.until, seenAt);
+    running.answeredAt = std::max(running.answeredAt, sentAt);
 }
 
 /**
@@ -129,8 +140,8 @@
     if (const auto connection = answer.connection.lock(); connection && connection->isOpen()) {
         return true;
     }
-    const auto life = m_lives.find(answer.attempt.replica);
-    return life != m_lives.end() && life->second.since <= answer.begunAt && life->second.until >= answer.begunAt + soundAfter;
+    const auto running = m_running.find(answer.attempt.replica);
+    return running != m_running.end() && running->second.since <= answer.begunAt && running->second.until >= answer.begunAt + soundAfter;
 }
 
 bool CrashWatch::judge(const BegunAnswer& answer, BootTime now)
@@ -213,7 +224,7 @@
     if (now - m_forgotAt >= forgetInterval) {
         m_forgotAt = now;
         forgetOld(m_evidence, suspects(), m_options, now);
-        std::erase_if(m_lives, [&](const auto& life) { return now - life.second.until > unprovenKept; });
+        std::erase_if(m_running, [&](const auto& running) { return now - running.second.until > unprovenKept; });
         std::erase_if(m_trials, [&](const auto& trial) { return now - trial.second >= trialTime; });
         m_suspectsCurrent = m_evidence.reports.empty() && m_suspects.empty();
     }
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -186,6 +186,7 @@
             .failureDomain = told.failure_domain(),
             .sentAt = before(told.sent_age_us()),
             .crashedAt = before(told.crash_age_us()),
+            .answeredAt = told.has_answered_age_us() ? std::optional { before(told.answered_age_us()) } : std::nullopt,
             .parts = { told.parts().begin(), told.parts().end() } });
     }
     for (const auto& told : state.alive_replicas()) {
--- a/packages/forwarding/src/PeerState.cpp
+++ b/packages/forwarding/src/PeerState.cpp
@@ -151,6 +151,9 @@
         message.set_failure_domain(report->failureDomain);
         message.set_sent_age_us(ageOf(report->sentAt));
         message.set_crash_age_us(ageOf(report->crashedAt));
+        if (report->answeredAt) {
+            message.set_answered_age_us(ageOf(*report->answeredAt));
+        }
         message.mutable_parts()->Add(report->parts.begin(), report->parts.end());
     }
     for (const auto part : told.sound) {
