--- a/packages/forwarding/include/siskinspread/ForwardingMetrics.h
+++ b/packages/forwarding/include/siskinspread/ForwardingMetrics.h
@@ -33,6 +33,10 @@
     void countShedConnection(std::string_view reason);
     /** A replica has said something of its load. @param believed whether it was readable and in range. */
     void countLoadReport(bool believed);
+    /** An answer during a rollout. @param result answered, slow or failed. */
+    void countRolloutAnswer(bool ofCandidate, std::string_view result);
+    /** This host has learnt of another state of a rollout. */
+    void countRolloutState(std::string_view state);
     void countStoreCall(std::string_view purpose, bool answered);
     void observeFirstByte(std::chrono::microseconds time);
     void observeWhole(std::chrono::microseconds time);
--- a/packages/forwarding/include/siskinspread/RolloutWatch.h
+++ b/packages/forwarding/include/siskinspread/RolloutWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "siskinspread/BootClock.h"
+#include "siskinspread/ForwardingMetrics.h"
 #include "siskinspread/ForwardingSettings.h"
 #include "siskinspread/HostLog.h"
 #include "siskinspread/PlatformAdapter.h"
@@ -45,7 +46,7 @@
  */
 class RolloutWatch {
 public:
-    RolloutWatch(const ForwardingSettings&, HostLog&);
+    RolloutWatch(const ForwardingSettings&, HostLog&, ForwardingMetrics&);
 
     // From the store.
     /** @return whether orders have to be read: a service has replicas of several versions. Stays true from then on. */
@@ -62,9 +63,9 @@
     // On the path of a request.
     /**
      * @param canary of the request; drawn with its first attempt.
-     * @return the replicas that a request for the service may go to.
+     * @return those of the service's replicas to which a request may go; nothing where rollouts do not restrict it.
      */
-    std::vector<std::shared_ptr<Replica>> allowed(const std::string& service, const std::vector<std::shared_ptr<Replica>>&, bool isFirstAttempt, std::optional<bool>& canary);
+    std::optional<std::vector<std::shared_ptr<Replica>>> allowed(const std::string& service, const std::vector<std::shared_ptr<Replica>>&, bool isFirstAttempt, std::optional<bool>& canary);
     /** An answer has begun, `took` after the request was sent. */
     void noteAnswer(const Replica&, const std::string& route, std::chrono::microseconds took);
     /** An answer has ended well, `took` after the request was sent. */
@@ -89,14 +90,15 @@
 private:
     RolloutRecord* openOrder(const std::string& service);
     VersionAnswers* answersOf(RolloutRecord&, const Replica&, uint64_t route) const;
-    static void compareTime(RolloutRecord&, VersionAnswers&, const Replica&, uint64_t route, std::chrono::microseconds took);
-    std::vector<std::shared_ptr<Replica>> ofKnownVersion(const std::string& service, const std::vector<std::shared_ptr<Replica>>&) const;
+    void compareTime(RolloutRecord&, VersionAnswers&, const Replica&, uint64_t route, std::chrono::microseconds took) const;
+    std::optional<std::vector<std::shared_ptr<Replica>>> ofKnownVersion(const std::string& service, const std::vector<std::shared_ptr<Replica>>&) const;
     double shareOf(const RolloutRecord&) const;
     void judge(RolloutRecord&);
     void takeOver(RolloutRecord&, const schema::RolloutMessage&, const std::string& host);
 
     const ForwardingSettings& m_settings;
     HostLog& m_log;
+    ForwardingMetrics& m_metrics;
     RolloutOptions m_options;
     std::map<std::string, RolloutRecord> m_orders; /**< By service. */
     std::unordered_map<std::string, std::string> m_soleVersions; /**< By service: the version of all replicas, as long as there was one. */
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -46,7 +46,7 @@
     , m_time(time)
     , m_limits(settings.host)
     , m_crashes(settings.host)
-    , m_rollouts(settings, log)
+    , m_rollouts(settings, log, metrics)
     , m_usage { .length = settings.bounds.reportWindow }
 {
 }
--- a/packages/forwarding/src/ForwardingMetrics.cpp
+++ b/packages/forwarding/src/ForwardingMetrics.cpp
@@ -50,6 +50,8 @@
         , storeCalls(counters("siskinspread_forward_store_calls_total", "Calls to the platform"))
         , shedConnections(counters("siskinspread_forward_shed_connections_total", "Callers' connections closed for others"))
         , loadReports(counters("siskinspread_forward_load_reports_total", "Answers in which a replica told its load"))
+        , rolloutAnswers(counters("siskinspread_forward_rollout_answers_total", "Answers of services with an open rollout"))
+        , rolloutStates(counters("siskinspread_forward_rollout_states_total", "States of rollouts that the host has learnt of"))
         , newConnections(counters("siskinspread_forward_replica_connections_total", "New connections to replicas").Add({}))
         , latency(prometheus::BuildHistogram().Name("siskinspread_forward_seconds").Help("Time from a request's first byte").Labels(labels).Register(registry))
         , firstByte(latency.Add({ { "until", "first_byte" } }, latencyBuckets))
@@ -68,6 +70,8 @@
     Family<Counter>& storeCalls;
     Family<Counter>& shedConnections;
     Family<Counter>& loadReports;
+    Family<Counter>& rolloutAnswers;
+    Family<Counter>& rolloutStates;
     Counter& newConnections;
     Family<Histogram>& latency;
     Histogram& firstByte;
@@ -103,6 +107,16 @@
     m_series->loadReports.Add({ { "believed", believed ? "true" : "false" } }).Increment();
 }
 
+void ForwardingMetrics::countRolloutAnswer(bool ofCandidate, std::string_view result)
+{
+    m_series->rolloutAnswers.Add({ { "version", ofCandidate ? "candidate" : "before" }, { "result", std::string { result } } }).Increment();
+}
+
+void ForwardingMetrics::countRolloutState(std::string_view state)
+{
+    m_series->rolloutStates.Add({ { "state", std::string { state } } }).Increment();
+}
+
 void ForwardingMetrics::countNewConnection()
 {
     m_series->newConnections.Increment();
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -35,7 +35,9 @@
     std::vector<std::shared_ptr<Replica>> heldOut;
     std::vector<std::shared_ptr<Replica>> doubted;
     const auto& service = exchange.request().service->name;
-    for (const auto& replica : m_rollouts.allowed(service, m_replicas.ofService(service), exchange.isFirstAttempt(), exchange.canary())) {
+    const auto& all = m_replicas.ofService(service);
+    const auto allowed = m_rollouts.allowed(service, all, exchange.isFirstAttempt(), exchange.canary());
+    for (const auto& replica : allowed ? *allowed : all) {
         if (!isServing(*replica) || exchange.wasSentTo(replica->identity) || isPaused(*replica, now) || !m_limits.mayCall(replica->identity)) {
             continue;
         }
--- a/packages/forwarding/src/RolloutWatch.cpp
+++ b/packages/forwarding/src/RolloutWatch.cpp
@@ -47,9 +47,10 @@
 
 } // namespace
 
-RolloutWatch::RolloutWatch(const ForwardingSettings& settings, HostLog& log)
+RolloutWatch::RolloutWatch(const ForwardingSettings& settings, HostLog& log, ForwardingMetrics& metrics)
     : m_settings(settings)
     , m_log(log)
+    , m_metrics(metrics)
     , m_options { .canaryShare = settings.bounds.canaryShare }
 {
 }
@@ -137,25 +138,25 @@
     return std::max(record.share, trialShare(m_options));
 }
 
-std::vector<std::shared_ptr<Replica>> RolloutWatch::ofKnownVersion(const std::string& service, const std::vector<std::shared_ptr<Replica>>& replicas) const
+std::optional<std::vector<std::shared_ptr<Replica>>> RolloutWatch::ofKnownVersion(const std::string& service, const std::vector<std::shared_ptr<Replica>>& replicas) const
 {
     const auto sole = m_soleVersions.find(service);
     if (sole == m_soleVersions.end()) {
-        return replicas;
+        return std::nullopt;
     }
     std::vector<std::shared_ptr<Replica>> known;
     std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(known), [&](const auto& replica) { return replica->entry.version == sole->second; });
-    return known.empty() ? replicas : known;
+    return known.empty() ? std::nullopt : std::optional { std::move(known) };
 }
 
-std::vector<std::shared_ptr<Replica>> RolloutWatch::allowed(const std::string& service, const std::vector<std::shared_ptr<Replica>>& replicas, bool isFirstAttempt, std::optional<bool>& canary)
+std::optional<std::vector<std::shared_ptr<Replica>>> RolloutWatch::allowed(const std::string& service, const std::vector<std::shared_ptr<Replica>>& replicas, bool isFirstAttempt, std::optional<bool>& canary)
 {
     if (m_options.canaryShare <= 0) {
-        return replicas;
+        return std::nullopt;
     }
     const auto found = m_orders.find(service);
     if (found == m_orders.end()) {
-        return m_listed ? replicas : ofKnownVersion(service, replicas);
+        return m_listed ? std::nullopt : ofKnownVersion(service, replicas);
     }
     auto& record = found->second;
     std::vector<std::shared_ptr<Replica>> before;
@@ -191,16 +192,17 @@
     return replica.entry.version == record.order.candidate ? &evidence.candidate : &evidence.before;
 }
 
-void RolloutWatch::compareTime(RolloutRecord& record, VersionAnswers& answers, const Replica& replica, uint64_t route, std::chrono::microseconds took)
+void RolloutWatch::compareTime(RolloutRecord& record, VersionAnswers& answers, const Replica& replica, uint64_t route, std::chrono::microseconds took) const
 {
     ++answers.answers;
+    const bool isCandidate = replica.entry.version == record.order.candidate;
     // A replica that has just started is slow for a while, whatever its version.
-    if (replica.entry.slowStartLeft.count() > 0) {
-        return;
-    }
+    const bool isStarting = replica.entry.slowStartLeft.count() > 0;
     auto& usual = record.usual[route];
-    answers.slow += isSeveralTimesUsual(usual, took) ? 1 : 0;
-    if (replica.entry.version != record.order.candidate) {
+    const bool isSlow = !isStarting && isSeveralTimesUsual(usual, took);
+    answers.slow += isSlow ? 1 : 0;
+    m_metrics.countRolloutAnswer(isCandidate, isSlow ? "slow" : "answered");
+    if (!isStarting && !isCandidate) {
         noteUsualTime(usual, took);
     }
 }
@@ -242,6 +244,7 @@
     }
     answers->answers += hasBegun ? 0 : 1;
     ++answers->failed;
+    m_metrics.countRolloutAnswer(replica.entry.version == record->order.candidate, "failed");
 }
 
 void RolloutWatch::tell(schema::HostStateMessage& state) const
@@ -341,6 +344,7 @@
     if (record.state != state && isOpen(record.state)) {
         m_log.info("rollout state", { { "service", record.order.service }, { "version", record.order.candidate }, { "state", rolloutStateName(state) } });
         record.state = state;
+        m_metrics.countRolloutState(rolloutStateName(state));
     }
 }
 
