Rollouts: slow answers count once, and unproven and new versions get nothing at hosts that know less

First bytes and whole answers of all routes were added up, so four answers that were slow from their first byte on made eight bad ones, the least that a fault needs. They are now compared apart. Answers that came while the host's own loop stood still for over 0.25 s are not compared in time. Hosts now tell each other the versions that earlier orders did not prove. - By reading: where orders had been read before, the replicas of a further version were used at once, also when its order was still on the way. They now wait for 5 s unless an order names them or nothing else serves.

--- a/packages/decisions/include/siskinspread/Rollout.h
+++ b/packages/decisions/include/siskinspread/Rollout.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace siskinspread {
 
@@ -62,8 +63,14 @@
     VersionAnswers candidate;
 };
 
-/** By the route's hash. */
-using RolloutEvidence = std::map<uint64_t, RouteEvidence>;
+/** What is measured of the answers on a route. */
+struct MeasuredPart {
+    uint64_t route { 0 }; /**< Hash of its name. */
+    bool isWhole { false }; /**< Answers to their end; otherwise to their first byte. */
+    bool operator<(const MeasuredPart& other) const { return std::tie(route, isWhole) < std::tie(other.route, other.isWhole); }
+};
+
+using RolloutEvidence = std::map<MeasuredPart, RouteEvidence>;
 
 /** Adds what another host has seen. Thread safety: safe while no other thread uses `sum`. */
 void addEvidence(RolloutEvidence& sum, const RolloutEvidence& part);
@@ -77,8 +84,9 @@
 };
 
 /**
- * Compares the versions route by route, and over all routes: a fault on one route must not be hidden by the others. Trouble that hits
- * both versions alike is no fault of the candidate. @return nothing where the candidate does not do worse. Thread safety: reentrant.
+ * Compares the versions route by route, and over all routes: a fault on one route must not be hidden by the others. First bytes and
+ * whole answers are apart, since an answer that is slow in both would count as two. Trouble that hits both versions alike is no fault
+ * of the candidate. @return nothing where the candidate does not do worse. Thread safety: reentrant.
  */
 std::optional<RolloutFault> faultOf(const RolloutEvidence&, const RolloutOptions&);
 
--- a/packages/decisions/src/Rollout.cpp
+++ b/packages/decisions/src/Rollout.cpp
@@ -74,15 +74,18 @@
 
 std::optional<RolloutFault> faultOf(const RolloutEvidence& evidence, const RolloutOptions& options)
 {
-    RouteEvidence all;
-    for (const auto& [route, onRoute] : evidence) {
-        if (auto fault = faultOfRoute(route, onRoute, options)) {
+    RouteEvidence allBegun;
+    RouteEvidence allWhole;
+    for (const auto& [part, onRoute] : evidence) {
+        if (auto fault = faultOfRoute(part.route, onRoute, options)) {
             return fault;
         }
+        auto& all = part.isWhole ? allWhole : allBegun;
         add(all.before, onRoute.before);
         add(all.candidate, onRoute.candidate);
     }
-    return faultOfRoute(0, all, options);
+    const auto fault = faultOfRoute(0, allBegun, options);
+    return fault ? fault : faultOfRoute(0, allWhole, options);
 }
 
 double trialShare(const RolloutOptions& options)
--- a/packages/forwarding/include/siskinspread/RolloutWatch.h
+++ b/packages/forwarding/include/siskinspread/RolloutWatch.h
@@ -35,7 +35,7 @@
     std::map<std::string, double> sharesOfPeers; /**< By host, as last told. */
     std::optional<RolloutFault> fault;
     CanaryCredit credit;
-    std::unordered_map<uint64_t, UsualTime> usual; /**< Of the version before, by route. */
+    std::map<MeasuredPart, UsualTime> usual; /**< Of the version before. */
     std::set<std::string> notProven; /**< Versions of orders that this one has replaced before they were complete. */
 };
 
@@ -89,9 +89,12 @@
 
 private:
     RolloutRecord* openOrder(const std::string& service);
-    VersionAnswers* answersOf(RolloutRecord&, const Replica&, uint64_t route) const;
-    void compareTime(RolloutRecord&, VersionAnswers&, const Replica&, uint64_t route, std::chrono::microseconds took) const;
+    VersionAnswers* answersOf(RolloutRecord&, const Replica&, const MeasuredPart&) const;
+    void compareTime(RolloutRecord&, VersionAnswers&, const Replica&, const MeasuredPart&, std::chrono::microseconds took) const;
+    bool stoodStillSince(MonotonicTime) const;
+    bool isNewVersion(const Replica&, MonotonicTime now) const;
     std::optional<std::vector<std::shared_ptr<Replica>>> ofKnownVersion(const std::string& service, const std::vector<std::shared_ptr<Replica>>&) const;
+    std::optional<std::vector<std::shared_ptr<Replica>>> withoutNewVersions(const std::vector<std::shared_ptr<Replica>>&) const;
     double shareOf(const RolloutRecord&) const;
     void judge(RolloutRecord&);
     void takeOver(RolloutRecord&, const schema::RolloutMessage&, const std::string& host);
@@ -102,6 +105,10 @@
     RolloutOptions m_options;
     std::map<std::string, RolloutRecord> m_orders; /**< By service. */
     std::unordered_map<std::string, std::string> m_soleVersions; /**< By service: the version of all replicas, as long as there was one. */
+    /** By service and version: when its first replica came; zero for what was there before the orders were read. */
+    std::unordered_map<std::string, std::map<std::string, MonotonicTime>> m_versions;
+    MonotonicTime m_reviewedAt {};
+    MonotonicTime m_stoodStillUntil {}; /**< When the loop last went on after a pause. */
     std::unordered_map<uint64_t, MonotonicTime> m_brokenOffAt; /**< By replica. */
     bool m_needsOrders { false };
     bool m_listed { false };
--- a/packages/forwarding/src/RolloutWatch.cpp
+++ b/packages/forwarding/src/RolloutWatch.cpp
@@ -14,8 +14,13 @@
     constexpr double perMille = 1000.0;
     // A crash of a replica cuts off many requests at once, which says no more of its version than one.
     constexpr milliseconds oneCrash { 1000 };
+    // A version whose replicas come is not used for this long unless an order names it: the order may be read some time after them.
+    constexpr milliseconds orderTime { 5000 };
+    // Between two reviews, after which the loop has stood still: answers that came meanwhile took longer than their replicas did.
+    constexpr milliseconds longestPause { 250 };
+    constexpr int maxUnproven = 16; // versions, of one order
     constexpr size_t maxOwners = 2048; // hosts and incarnations whose evidence is kept, for one order
-    constexpr size_t maxRoutes = 64; // of one order
+    constexpr size_t maxParts = 128; // of one order
     constexpr uint64_t longestAgeMs = 3'600'000; // keeps ages that a broken message names in range
 
     bool isOpen(RolloutState state)
@@ -82,7 +87,7 @@
 
 void RolloutWatch::noteReplicas(const ReplicaDirectory& replicas)
 {
-    if (m_options.canaryShare <= 0 || m_needsOrders) {
+    if (m_options.canaryShare <= 0) {
         return;
     }
     std::unordered_map<std::string, std::map<std::string, size_t>> versions;
@@ -91,6 +96,17 @@
             ++versions[replica->entry.service][replica->entry.version];
         }
     }
+    const auto firstSeen = m_listed ? std::chrono::steady_clock::now() : MonotonicTime {};
+    for (const auto& [service, counts] : versions) {
+        auto& known = m_versions[service];
+        std::erase_if(known, [&present = counts](const auto& version) { return !present.contains(version.first); });
+        for (const auto& [version, count] : counts) {
+            known.try_emplace(version, firstSeen);
+        }
+    }
+    if (m_needsOrders) {
+        return;
+    }
     for (const auto& [service, counts] : versions) {
         if (counts.size() == 1) {
             m_soleVersions[service] = counts.begin()->first;
@@ -103,8 +119,37 @@
     }
 }
 
+bool RolloutWatch::isNewVersion(const Replica& replica, MonotonicTime now) const
+{
+    const auto service = m_versions.find(replica.entry.service);
+    if (service == m_versions.end()) {
+        return false;
+    }
+    const auto version = service->second.find(replica.entry.version);
+    return version != service->second.end() && version->second != MonotonicTime {} && now - version->second < orderTime;
+}
+
+/** @return nothing where there are no others, or no replica of a new version. */
+std::optional<std::vector<std::shared_ptr<Replica>>> RolloutWatch::withoutNewVersions(const std::vector<std::shared_ptr<Replica>>& replicas) const
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::shared_ptr<Replica>> others;
+    std::copy_if(replicas.begin(), replicas.end(), std::back_inserter(others), [&](const auto& replica) { return !isNewVersion(*replica, now); });
+    return others.empty() || others.size() == replicas.size() ? std::nullopt : std::optional { std::move(others) };
+}
+
+bool RolloutWatch::stoodStillSince(MonotonicTime sentAt) const
+{
+    return sentAt < m_stoodStillUntil || std::chrono::steady_clock::now() - m_reviewedAt > longestPause;
+}
+
 void RolloutWatch::review()
 {
+    const auto now = std::chrono::steady_clock::now();
+    if (now - m_reviewedAt > longestPause) {
+        m_stoodStillUntil = now;
+    }
+    m_reviewedAt = now;
     for (auto& [service, record] : m_orders) {
         if (isOpen(record.state)) {
             judge(record);
@@ -156,20 +201,22 @@
     }
     const auto found = m_orders.find(service);
     if (found == m_orders.end()) {
-        return m_listed ? std::nullopt : ofKnownVersion(service, replicas);
+        return m_listed ? withoutNewVersions(replicas) : ofKnownVersion(service, replicas);
     }
     auto& record = found->second;
+    const auto now = std::chrono::steady_clock::now();
     std::vector<std::shared_ptr<Replica>> before;
     std::vector<std::shared_ptr<Replica>> candidates;
+    std::vector<std::shared_ptr<Replica>> ofNewVersions;
     for (const auto& replica : replicas) {
         if (replica->entry.version == record.order.candidate) {
             candidates.push_back(replica);
         } else if (!record.notProven.contains(replica->entry.version)) {
-            before.push_back(replica);
+            (isNewVersion(*replica, now) ? ofNewVersions : before).push_back(replica);
         }
     }
     if (candidates.empty()) {
-        return before;
+        return before.empty() ? ofNewVersions : before;
     }
     if (isFirstAttempt && !canary) {
         canary = takesCanary(record.credit, shareOf(record));
@@ -183,26 +230,26 @@
     return isOnlyChoice ? candidates : before;
 }
 
-VersionAnswers* RolloutWatch::answersOf(RolloutRecord& record, const Replica& replica, uint64_t route) const
+VersionAnswers* RolloutWatch::answersOf(RolloutRecord& record, const Replica& replica, const MeasuredPart& part) const
 {
-    if (record.own.size() >= maxRoutes && !record.own.contains(route)) {
+    if (record.own.size() >= maxParts && !record.own.contains(part)) {
         return nullptr;
     }
-    auto& evidence = record.own[route];
+    auto& evidence = record.own[part];
     return replica.entry.version == record.order.candidate ? &evidence.candidate : &evidence.before;
 }
 
-void RolloutWatch::compareTime(RolloutRecord& record, VersionAnswers& answers, const Replica& replica, uint64_t route, std::chrono::microseconds took) const
+void RolloutWatch::compareTime(RolloutRecord& record, VersionAnswers& answers, const Replica& replica, const MeasuredPart& part, std::chrono::microseconds took) const
 {
     ++answers.answers;
     const bool isCandidate = replica.entry.version == record.order.candidate;
     // A replica that has just started is slow for a while, whatever its version.
-    const bool isStarting = replica.entry.slowStartLeft.count() > 0;
-    auto& usual = record.usual[route];
-    const bool isSlow = !isStarting && isSeveralTimesUsual(usual, took);
+    const bool isComparable = replica.entry.slowStartLeft.count() == 0 && !stoodStillSince(std::chrono::steady_clock::now() - took);
+    auto& usual = record.usual[part];
+    const bool isSlow = isComparable && isSeveralTimesUsual(usual, took);
     answers.slow += isSlow ? 1 : 0;
     m_metrics.countRolloutAnswer(isCandidate, isSlow ? "slow" : "answered");
-    if (!isStarting && !isCandidate) {
+    if (isComparable && !isCandidate) {
         noteUsualTime(usual, took);
     }
 }
@@ -210,9 +257,9 @@
 void RolloutWatch::noteAnswer(const Replica& replica, const std::string& route, std::chrono::microseconds took)
 {
     if (auto* record = openOrder(replica.entry.service)) {
-        const auto hash = hashOf(route);
-        if (auto* answers = answersOf(*record, replica, hash)) {
-            compareTime(*record, *answers, replica, hash, took);
+        const MeasuredPart part { .route = hashOf(route) };
+        if (auto* answers = answersOf(*record, replica, part)) {
+            compareTime(*record, *answers, replica, part, took);
         }
     }
 }
@@ -220,10 +267,10 @@
 void RolloutWatch::noteEnd(const Replica& replica, const std::string& route, std::chrono::microseconds took)
 {
     if (auto* record = openOrder(replica.entry.service)) {
-        // A version may begin its answers in time and write them slowly, so whole answers are compared as a route of their own.
-        const auto hash = ~hashOf(route);
-        if (auto* answers = answersOf(*record, replica, hash)) {
-            compareTime(*record, *answers, replica, hash, took);
+        // A version may begin its answers in time and write them slowly.
+        const MeasuredPart part { .route = hashOf(route), .isWhole = true };
+        if (auto* answers = answersOf(*record, replica, part)) {
+            compareTime(*record, *answers, replica, part, took);
         }
     }
 }
@@ -231,7 +278,7 @@
 void RolloutWatch::noteFailure(const Replica& replica, const std::string& route, bool hasBegun, bool brokenOff)
 {
     auto* record = openOrder(replica.entry.service);
-    auto* answers = record != nullptr ? answersOf(*record, replica, hashOf(route)) : nullptr;
+    auto* answers = record != nullptr ? answersOf(*record, replica, { .route = hashOf(route) }) : nullptr;
     if (answers == nullptr) {
         return;
     }
@@ -250,18 +297,25 @@
 void RolloutWatch::tell(schema::HostStateMessage& state) const
 {
     for (const auto& [service, record] : m_orders) {
-        if (!isOpen(record.state)) {
+        if (!isOpen(record.state) && record.notProven.empty()) {
             continue;
         }
         auto& message = *state.add_rollouts();
         message.set_service(service);
         message.set_order(record.key);
+        for (const auto& version : record.notProven) {
+            message.add_unproven_versions(version);
+        }
+        if (!isOpen(record.state)) {
+            continue;
+        }
         message.set_age_ms(static_cast<uint64_t>(std::chrono::duration_cast<milliseconds>(BootClock::now() - record.seenAt).count()));
         message.set_share_per_mille(static_cast<uint32_t>(std::lround(record.share * perMille)));
         message.set_fencing_number(record.fencingNumber);
-        for (const auto& [route, evidence] : record.own) {
+        for (const auto& [part, evidence] : record.own) {
             auto& onRoute = *message.add_routes();
-            onRoute.set_route(route);
+            onRoute.set_route(part.route);
+            onRoute.set_whole(part.isWhole);
             encode(evidence.before, *onRoute.mutable_before());
             encode(evidence.candidate, *onRoute.mutable_candidate());
         }
@@ -271,10 +325,20 @@
 void RolloutWatch::apply(const schema::HostStateMessage& state)
 {
     for (const auto& message : state.rollouts()) {
-        auto* record = openOrder(message.service());
-        if (record == nullptr || record->key != message.order()) {
+        const auto found = m_orders.find(message.service());
+        if (found == m_orders.end() || found->second.key != message.order()) {
             continue; // this host has yet to read the order, or the other one has
         }
+        auto* record = &found->second;
+        // A host that has started since does not know what the order has replaced.
+        for (const auto& version : message.unproven_versions()) {
+            if (version != record->order.candidate && record->notProven.size() < maxUnproven) {
+                record->notProven.insert(version);
+            }
+        }
+        if (!isOpen(record->state)) {
+            continue;
+        }
         record->seenAt = std::min(record->seenAt, BootClock::now() - milliseconds { std::min(message.age_ms(), longestAgeMs) });
         record->sharesOfPeers[state.host()] = message.share_per_mille() / perMille;
         takeOver(*record, message, state.host());
@@ -285,7 +349,7 @@
         auto& evidence = record->ofPeers[owner];
         evidence.clear();
         for (const auto& onRoute : message.routes()) {
-            evidence[onRoute.route()] = { .before = decode(onRoute.before()), .candidate = decode(onRoute.candidate()) };
+            evidence[{ .route = onRoute.route(), .isWhole = onRoute.whole() }] = { .before = decode(onRoute.before()), .candidate = decode(onRoute.candidate()) };
         }
     }
 }
