Soak: a service is moved to another version while the faults go on

Checked: no request before the order or after the version's end, the share and the time that a bad version gets, and the final state.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -28,11 +28,12 @@
     constexpr uint64_t longestLimit = 12000;
     constexpr uint64_t crashingOneOf = 25; // streams whose prompts have the part that crashes replicas
     constexpr uint64_t longestDownTime = 500; // milliseconds
+    constexpr int callersOfMovingPerHost = 2;
     constexpr LinkFault linkFaults[] { LinkFault::Delay, LinkFault::LoseAnswers, LinkFault::Silence };
 
-    json routeOf(const char* name, const char* kind, int attempts, const SoakBounds& bounds)
+    json routeOf(const char* name, const char* kind, int attempts, const SoakBounds& bounds, const char* service = "plain")
     {
-        return { { "name", name }, { "host", "h.example" }, { "path_prefix", std::string { "/" } + name + "/" }, { "kind", kind }, { "service", "plain" },
+        return { { "name", name }, { "host", "h.example" }, { "path_prefix", std::string { "/" } + name + "/" }, { "kind", kind }, { "service", service },
             { "timeout_ms", bounds.timeout.count() }, { "max_attempts", attempts }, { "can_resume", std::string_view { kind } == "streaming" } };
     }
 
@@ -44,8 +45,13 @@
     , m_random(m_options.seed)
     , m_limitRandom(m_options.seed)
     , m_crashRandom(m_options.seed)
+    , m_movingRandom(m_options.seed)
     , m_startedAt(std::chrono::steady_clock::now())
 {
+    if (m_options.rollout) {
+        m_options.places.canaryShare = m_bounds.canaryShare;
+        m_rollout = std::make_unique<SoakRollout>(m_context, m_ledger, m_platform, m_options.seed, [this](const std::string& what) { tell(what); });
+    }
     const auto ports = testing::freePorts(static_cast<size_t>(m_options.hosts) * portsPerHost);
     for (int number = 0; number < m_options.replicas; ++number) {
         auto replica = std::make_unique<SoakReplica>(m_context, "i-" + std::to_string(++m_lastInstance), m_ledger, m_random());
@@ -60,6 +66,9 @@
         for (int caller = 0; caller < m_options.callersPerHost; ++caller) {
             side.callers.push_back(std::make_shared<SoakCaller>(m_context, NetworkAddress { side.host->address(), side.host->callersPort() }, side.host->name(), m_ledger));
         }
+        for (int caller = 0; m_rollout && caller < callersOfMovingPerHost; ++caller) {
+            side.callersOfMoving.push_back(std::make_shared<SoakCaller>(m_context, NetworkAddress { side.host->address(), side.host->callersPort() }, side.host->name(), m_ledger));
+        }
         m_sides.push_back(std::move(side));
     }
 }
@@ -70,6 +79,9 @@
         for (const auto& caller : side.callers) {
             caller->close();
         }
+        for (const auto& caller : side.callersOfMoving) {
+            caller->close();
+        }
     }
 }
 
@@ -91,9 +103,13 @@
 
 void Soak::writeConfiguration()
 {
-    const json configuration { { "version", ++m_version },
+    json configuration { { "version", ++m_version },
         { "routes", json::array({ routeOf("once", "non_idempotent", 1, m_bounds), routeOf("read", "idempotent", 2, m_bounds), routeOf("stream", "streaming", 3, m_bounds) }) },
         { "services", json::array({ { { "name", "plain" } } }) }, { "tenants", json::array({ { { "name", "c-1" }, { "api_keys", m_keys } } }) } };
+    if (m_rollout) {
+        configuration["routes"].push_back(routeOf("moving", "idempotent", 2, m_bounds, "moving"));
+        configuration["services"].push_back({ { "name", "moving" } });
+    }
     m_platform.put("config", "main", configuration);
 }
 
@@ -146,11 +162,19 @@
         const auto how = draw(std::size(linkFaults));
         tell("store link fault " + std::to_string(how) + " " + side.host->name());
         side.store->setFault(linkFaults[how]);
-        later(drawTime(200, longestLinkFault.count()), [&side] { side.store->setFault(LinkFault::None); });
+        const auto lasts = drawTime(200, longestLinkFault.count());
+        noteWithoutStore(side, lasts);
+        later(lasts, [&side] { side.store->setFault(LinkFault::None); });
         break;
     }
 }
 
+void Soak::noteWithoutStore(const Side& side, milliseconds lasts)
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_ledger.withoutStore[side.host->name()].push_back({ .from = now, .until = now + lasts });
+}
+
 void Soak::faultOnReplica(Behind& behind)
 {
     const auto fault = draw(std::size(linkFaults));
@@ -209,16 +233,19 @@
 
 void Soak::faultOnStore()
 {
+    milliseconds lasts { 0 };
     switch (draw(4)) {
     case 0:
         tell("store busy");
         m_platform.busy = true;
-        later(drawTime(200, 2500), [this] { m_platform.busy = false; });
+        lasts = drawTime(200, 2500);
+        later(lasts, [this] { m_platform.busy = false; });
         break;
     case 1:
         tell("store silent");
         m_platform.silent = true;
-        later(drawTime(200, 2500), [this] { m_platform.silent = false; });
+        lasts = drawTime(200, 2500);
+        later(lasts, [this] { m_platform.silent = false; });
         break;
     case 2:
         tell("store loses the answer of a write");
@@ -229,6 +256,9 @@
         m_platform.forgetHistory();
         break;
     }
+    for (const auto& side : m_sides) {
+        noteWithoutStore(side, lasts);
+    }
 }
 
 void Soak::changeKeys()
@@ -306,6 +336,16 @@
     }
 }
 
+/** Has draws of its own, so that the faults of a seed are the same with and without a rollout. */
+void Soak::sendToMoving(Side& side)
+{
+    for (const auto& caller : side.callersOfMoving) {
+        if (caller->isIdle() && m_movingRandom() % sendOneOf == 0) {
+            caller->send("a-" + std::to_string(++m_lastAttempt), RequestKind::Moving, m_keys.front(), false);
+        }
+    }
+}
+
 void Soak::step(bool sending)
 {
     m_context.restart();
@@ -314,8 +354,12 @@
         keepProcesses(side);
         if (sending) {
             sendRequests(side);
+            sendToMoving(side);
         }
     }
+    if (m_rollout) {
+        m_rollout->followState();
+    }
 }
 
 bool Soak::runUntil(const std::function<bool()>& condition, milliseconds most, bool sending)
@@ -366,6 +410,15 @@
     }
 }
 
+void Soak::checkRollout()
+{
+    if (m_rollout) {
+        runUntil([this] { return m_rollout->isDecided(); }, m_bounds.recovery, true);
+        runUntil([] { return false; }, m_bounds.contact + answerSlack, true); // what is still sent to a version that has ended shows then
+        m_rollout->check();
+    }
+}
+
 void Soak::checkReports()
 {
     std::map<int64_t, json> counts;
@@ -394,6 +447,9 @@
     for (auto& behind : m_replicas) {
         announce(behind, false);
     }
+    if (m_rollout) {
+        m_rollout->start();
+    }
     for (auto& side : m_sides) {
         side.host->start();
     }
@@ -407,6 +463,9 @@
     for (size_t number = 0; number + 1 < m_replicas.size(); ++number) { // the last one stays for the callers
         changeLimit(m_replicas[number]);
     }
+    if (m_rollout) {
+        m_rollout->begin();
+    }
     const auto end = std::chrono::steady_clock::now() + m_options.faultTime;
     while (std::chrono::steady_clock::now() < end) {
         injectFault();
@@ -416,6 +475,7 @@
     runUntil([] { return false; }, longestLinkFault, true); // what ends by itself has ended then
     calm();
     checkRecovery();
+    checkRollout();
     runUntil([] { return false; }, m_bounds.timeout + answerSlack, false);
     checkAnswered();
     checkReports();
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -3,6 +3,7 @@
 #include "SoakCaller.h"
 #include "SoakHost.h"
 #include "SoakReplica.h"
+#include "SoakRollout.h"
 
 #include "StandInPlatform.h"
 
@@ -17,6 +18,7 @@
     int hosts { 4 };
     int replicas { 3 };
     int callersPerHost { 3 };
+    bool rollout { false }; /**< A further service is moved to another version. */
     std::chrono::milliseconds faultTime { 8000 }; /**< During which faults begin. */
     SoakPlaces places;
 };
@@ -43,6 +45,7 @@
         std::unique_ptr<SoakHost> host;
         std::unique_ptr<SoakProxy> store;
         std::vector<std::shared_ptr<SoakCaller>> callers;
+        std::vector<std::shared_ptr<SoakCaller>> callersOfMoving; /**< Of the service that is moved between versions. */
         std::optional<SoakTime> stopBefore; /**< A process that was told to stop has to end by then. */
         std::optional<SoakTime> startAt; /**< When an ended process is to be started again. */
         std::optional<SoakTime> resumeAt;
@@ -68,9 +71,12 @@
     void step(bool sending);
     void keepProcesses(Side&);
     void sendRequests(Side&);
+    void sendToMoving(Side&);
+    void noteWithoutStore(const Side&, std::chrono::milliseconds);
     bool runUntil(const std::function<bool()>& condition, std::chrono::milliseconds most, bool sending);
     void calm();
     void checkRecovery();
+    void checkRollout();
     void checkReports();
     void checkAnswered();
     uint64_t draw(uint64_t below) { return m_random() % below; }
@@ -86,6 +92,8 @@
     std::mt19937_64 m_random;
     std::mt19937_64 m_limitRandom;
     std::mt19937_64 m_crashRandom;
+    std::mt19937_64 m_movingRandom;
+    std::unique_ptr<SoakRollout> m_rollout;
     bool m_isCalm { false };
     std::vector<std::string> m_story;
     std::vector<std::string> m_keys { "k-0" };
--- a/tests/soak/SoakCaller.cpp
+++ b/tests/soak/SoakCaller.cpp
@@ -13,6 +13,8 @@
             return "POST /once/1";
         case RequestKind::Repeatable:
             return "GET /read/1";
+        case RequestKind::Moving:
+            return "GET /moving/1";
         case RequestKind::Stream:
             break;
         }
--- a/tests/soak/SoakHost.cpp
+++ b/tests/soak/SoakHost.cpp
@@ -34,7 +34,7 @@
          << "[limits]\ncpu_share = 0.25\nmemory_mb = 260\nmax_fds = 1000\n"
          << "[bounds]\nconfig_apply_ms = 2000\nrevoke_ms = " << bounds.revocation.count() << "\ngrace_s = " << seconds(bounds.stopGrace)
          << "\nlease_ms = 1000\nreport_window_s = 1\nusage_late_s = 6\nretry_budget_ratio = 0.2\nbudget_slack = 54\n"
-         << "[platform]\naddress = " << store << "\n[cloud]\naddress = " << store << "\nduties = [\"usage_report\"]\n";
+         << (places.canaryShare > 0 ? "canary_share = " + std::to_string(places.canaryShare) + "\n" : "") << "[platform]\naddress = " << store << "\n[cloud]\naddress = " << store << "\nduties = [\"usage_report\"]\n";
 }
 
 bool SoakHost::hasWritten() const
--- a/tests/soak/SoakHost.h
+++ b/tests/soak/SoakHost.h
@@ -15,6 +15,7 @@
 struct SoakPlaces {
     std::string program; /**< The product's. */
     std::string directory; /**< For settings and logs; kept when something is wrong. */
+    double canaryShare { 0 }; /**< Of the settings; 0: none is named. */
 };
 
 /** A process of the product that is stopped, paused and killed by signals. Thread safety: the thread that made it. */
--- a/tests/soak/SoakLedger.cpp
+++ b/tests/soak/SoakLedger.cpp
@@ -56,14 +56,21 @@
 
     using Seconds = std::chrono::duration<double>;
 
-    bool isDisturbed(const Ledger& ledger, const std::string& host, SoakTime at, const SoakBounds& bounds)
+    using DisturbedHosts = std::map<std::string, std::vector<Disturbance>>;
+
+    bool isIn(const DisturbedHosts& hosts, const std::string& host, SoakTime at, const SoakBounds& bounds)
     {
-        const auto found = ledger.disturbed.find(host);
-        return found != ledger.disturbed.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& disturbance) {
+        const auto found = hosts.find(host);
+        return found != hosts.end() && std::any_of(found->second.begin(), found->second.end(), [&](const auto& disturbance) {
             return disturbance.from <= at && at < disturbance.until + bounds.contact;
         });
     }
 
+    bool isDisturbed(const Ledger& ledger, const std::string& host, SoakTime at, const SoakBounds& bounds)
+    {
+        return isIn(ledger.disturbed, host, at, bounds);
+    }
+
     /** @return the requests that a replica's limits let through from `from` to `to`; nothing when it named none for a part of it. */
     std::optional<double> allowedBetween(const std::vector<NamedLimit>& limits, SoakTime from, SoakTime to)
     {
@@ -119,6 +126,44 @@
         }
     }
 
+    void checkBadVersion(const Ledger& ledger, const std::string& name, const VersionRecord& version, const SoakBounds& bounds, std::vector<std::string>& problems)
+    {
+        const auto inTime = [&](const Arrival& arrival) { return arrival.at >= *version.allowedFrom && arrival.at < *version.deadline && !isDisturbed(ledger, arrival.host, arrival.at, bounds); };
+        std::ptrdiff_t ofAll = 0;
+        for (const auto& [other, record] : ledger.versions) {
+            ofAll += std::count_if(record.arrivals.begin(), record.arrivals.end(), inTime);
+        }
+        const auto got = std::count_if(version.arrivals.begin(), version.arrivals.end(), inTime);
+        if (static_cast<double>(got) > bounds.canaryShare * static_cast<double>(ofAll) + static_cast<double>(bounds.canarySlack)) {
+            problems.push_back(name + ": a bad version got " + std::to_string(got) + " of " + std::to_string(ofAll) + " requests");
+        }
+        if (version.badAnswers.size() < bounds.badAnswersSeen) {
+            return;
+        }
+        const auto from = version.badAnswers[bounds.badAnswersSeen - 1] + bounds.rollback;
+        const auto late = std::count_if(version.arrivals.begin(), version.arrivals.end(), [&](const Arrival& arrival) { return arrival.at > from && !isDisturbed(ledger, arrival.host, arrival.at, bounds); });
+        if (late > 0) {
+            problems.push_back(name + ": a bad version got " + std::to_string(late) + " requests later than it has to lose them");
+        }
+    }
+
+    void checkVersion(const Ledger& ledger, const std::string& name, const VersionRecord& version, const SoakBounds& bounds, std::vector<std::string>& problems)
+    {
+        const auto early = std::count_if(version.arrivals.begin(), version.arrivals.end(), [&](const Arrival& arrival) { return !version.allowedFrom || arrival.at < *version.allowedFrom; });
+        if (early > 0) {
+            problems.push_back(name + ": got " + std::to_string(early) + " requests before the operator allowed the version");
+        }
+        const auto late = std::count_if(version.arrivals.begin(), version.arrivals.end(), [&](const Arrival& arrival) {
+            return version.endedAt && arrival.at > *version.endedAt + bounds.contact && !isDisturbed(ledger, arrival.host, arrival.at, bounds) && !isIn(ledger.withoutStore, arrival.host, arrival.at, bounds);
+        });
+        if (late > 0) {
+            problems.push_back(name + ": got " + std::to_string(late) + " requests after its end");
+        }
+        if (version.isBad && version.allowedFrom && version.deadline) {
+            checkBadVersion(ledger, name, version, bounds, problems);
+        }
+    }
+
 } // namespace
 
 std::vector<std::string> problemsOf(const Ledger& ledger, const SoakBounds& bounds)
@@ -135,6 +180,9 @@
         checkLimits(ledger, instance, replica, bounds, problems);
     }
     checkCrashes(ledger, bounds, problems);
+    for (const auto& [name, version] : ledger.versions) {
+        checkVersion(ledger, name, version, bounds, problems);
+    }
     return problems;
 }
 
--- a/tests/soak/SoakLedger.h
+++ b/tests/soak/SoakLedger.h
@@ -16,6 +16,7 @@
     Once,
     Repeatable,
     Stream, /**< May be resumed. */
+    Moving, /**< May be repeated; to the service that is moved between versions. */
 };
 
 /** One request as its caller and the replicas saw it. */
@@ -60,6 +61,16 @@
     SoakTime until {};
 };
 
+/** A version of the service that is moved between versions. */
+struct VersionRecord {
+    bool isBad { false };
+    std::optional<SoakTime> allowedFrom; /**< When the operator first allowed it; empty: not yet. */
+    std::optional<SoakTime> deadline; /**< Of its order. */
+    std::optional<SoakTime> endedAt; /**< When it was rolled back, or its order was replaced. */
+    std::vector<Arrival> arrivals; /**< In order. */
+    std::vector<SoakTime> badAnswers; /**< In order. */
+};
+
 /** All requests of one soak, and what was done to keys, replicas and hosts. */
 struct Ledger {
     std::map<std::string, Attempt> attempts;
@@ -68,6 +79,8 @@
     std::vector<SoakTime> crashes; /**< Of replicas under a part of a prompt, in order. */
     std::vector<Arrival> crashing; /**< Requests with that part that came to replicas, in order. */
     std::map<std::string, std::vector<Disturbance>> disturbed; /**< By host. */
+    std::map<std::string, std::vector<Disturbance>> withoutStore; /**< By host: times in which it could not read the store. */
+    std::map<std::string, VersionRecord> versions;
     std::vector<std::string> problems; /**< Seen on the way. */
 };
 
@@ -81,12 +94,17 @@
     std::chrono::milliseconds limitWindow { 4000 };
     std::chrono::milliseconds limitTold { 500 }; /**< After it has passed a limit on, a host keeps to it. */
     std::chrono::milliseconds contact { 3000 }; /**< After a limit is named first, and after a host was disturbed. */
+    double canaryShare { 0.1 }; /**< Of a service's requests, that a bad version may get. */
+    size_t canarySlack { 15 };
+    size_t badAnswersSeen { 20 }; /**< After which a bad version has `rollback` to lose its traffic. */
+    std::chrono::milliseconds rollback { 3000 };
 };
 
 /**
  * @return what is wrong with the attempts: ran twice, refused as not run but ran, foreign or changed answers, events missing
  * or doubled, keys accepted after their end, replicas that got more than their limit allows, a prompt part that goes on
- * crashing replicas, and requests that are taken for such without the part. Thread safety: reentrant.
+ * crashing replicas, requests that are taken for such without the part, and versions that get requests against the operator's
+ * orders, or too many though they are bad. Thread safety: reentrant.
  */
 std::vector<std::string> problemsOf(const Ledger&, const SoakBounds&);
 
--- a/tests/soak/SoakLedgerTest.cpp
+++ b/tests/soak/SoakLedgerTest.cpp
@@ -86,6 +86,43 @@
     CHECK(problemsWith({ .id = "a", .kind = RequestKind::Stream, .crashesReplicas = true, .sentAt = start, .status = 503, .body = "part dd is suspected" }) == 0);
 }
 
+TEST_CASE("a version gets requests only while the operator allows it, and few while it is bad")
+{
+    Ledger ledger;
+    auto& before = ledger.versions["v1"];
+    before.allowedFrom = start;
+    auto& candidate = ledger.versions["v2"];
+    candidate = { .isBad = true, .allowedFrom = start + milliseconds { 1000 }, .deadline = start + milliseconds { 9000 } };
+    const auto send = [](VersionRecord& version, int count, SoakTime at) { version.arrivals.insert(version.arrivals.end(), static_cast<size_t>(count), { .at = at, .host = "host-1" }); };
+    send(before, 100, start + milliseconds { 2000 });
+    send(candidate, 27, start + milliseconds { 2000 }); // a tenth of 127, and 15
+    CHECK(problemsOf(ledger, {}).empty());
+    SUBCASE("more than its share")
+    {
+        send(candidate, 1, start + milliseconds { 2000 });
+        CHECK(problemsOf(ledger, {}).size() == 1);
+    }
+    SUBCASE("long after its bad answers")
+    {
+        candidate.badAnswers.assign(20, start + milliseconds { 2000 });
+        send(candidate, 1, start + milliseconds { 9500 });
+        CHECK(problemsOf(ledger, {}).size() == 1);
+    }
+    SUBCASE("before the order")
+    {
+        send(candidate, 1, start + milliseconds { 900 });
+        CHECK(problemsOf(ledger, {}).size() == 1);
+    }
+    SUBCASE("after its end, from a host that runs")
+    {
+        candidate.endedAt = start + milliseconds { 6000 };
+        send(candidate, 1, start + milliseconds { 9100 });
+        CHECK(problemsOf(ledger, {}).size() == 1);
+        ledger.disturbed["host-1"] = { { .from = start + milliseconds { 8000 }, .until = start + milliseconds { 9000 } } };
+        CHECK(problemsOf(ledger, {}).empty());
+    }
+}
+
 TEST_CASE("a key may be accepted until its end is in force")
 {
     Ledger ledger;
--- a/tests/soak/SoakReplica.cpp
+++ b/tests/soak/SoakReplica.cpp
@@ -9,6 +9,7 @@
     constexpr uint64_t longestRun = 60; // milliseconds; short, so that many requests meet each fault
     constexpr milliseconds betweenEvents { 25 };
     constexpr milliseconds crashDelay { 40 };
+    constexpr milliseconds slowRun { 400 }; // several times the longest usual one
     constexpr uint64_t loseOneOf = 3; // answers, while the replica loses some
     constexpr uint64_t eventsOfStream = SoakBounds {}.eventsOfStream;
 
@@ -75,8 +76,15 @@
     }
     auto& attempt = m_ledger.attempts[id];
     m_ledger.replicas[m_instance].arrivals.push_back({ .at = std::chrono::steady_clock::now(), .host = attempt.host });
+    if (!m_version.empty()) {
+        m_ledger.versions[m_version].arrivals.push_back(m_ledger.replicas[m_instance].arrivals.back());
+    }
     if (attempt.kind != RequestKind::Stream) {
         ++attempt.runs;
+        if (m_versionFault != VersionFault::None) {
+            answerBadly(request.connection, id);
+            return;
+        }
         later(milliseconds { draw(longestRun) }, [this, connection = request.connection, id] { answer(connection, id); });
         return;
     }
@@ -115,6 +123,19 @@
     connection->respond(200, "OK", answerHeaders(id), "done " + id);
 }
 
+void SoakReplica::answerBadly(const std::shared_ptr<CallerConnection>& connection, const std::string& id)
+{
+    const bool isSlow = m_versionFault == VersionFault::Slow;
+    later(milliseconds { draw(longestRun) } + (isSlow ? slowRun : milliseconds { 0 }), [this, connection, id, isSlow] {
+        m_ledger.versions[m_version].badAnswers.push_back(std::chrono::steady_clock::now());
+        if (isSlow) {
+            answer(connection, id);
+        } else if (connection->isOpen()) {
+            connection->respond(500, "Internal Server Error", answerHeaders(id), "failed");
+        }
+    });
+}
+
 void SoakReplica::beginStream(const std::shared_ptr<CallerConnection>& connection, const std::string& id, uint64_t after)
 {
     AnswerHead head { .status = 200, .phrase = "OK", .headers = answerHeaders(id), .framing = BodyFraming::Chunked };
--- a/tests/soak/SoakReplica.h
+++ b/tests/soak/SoakReplica.h
@@ -13,6 +13,13 @@
 
 namespace siskinspread::soak {
 
+/** How a version of a service is bad. */
+enum class VersionFault : uint8_t {
+    None,
+    Failing,
+    Slow,
+};
+
 /** A replica that answers after a while and notes what it ran. Thread safety: loop thread only. */
 class SoakReplica {
 public:
@@ -27,6 +34,12 @@
     void setLimit(std::optional<double>);
     /** @param crash called soon after an answer on a part that crashes replicas has begun. */
     void setCrash(std::function<void()> crash) { m_crash = std::move(crash); }
+    /** Notes requests as those of a version, which answers well or badly. */
+    void setVersion(std::string version, VersionFault fault)
+    {
+        m_version = std::move(version);
+        m_versionFault = fault;
+    }
     /** From here on some answers break off after the run. */
     void setLosesAnswers(bool loses) { m_losesAnswers = loses; }
 
@@ -35,6 +48,7 @@
     void handle(ReceivedRequest&&);
     HttpHeaders answerHeaders(const std::string& id) const;
     void answer(const std::shared_ptr<CallerConnection>&, const std::string& id);
+    void answerBadly(const std::shared_ptr<CallerConnection>&, const std::string& id);
     void beginStream(const std::shared_ptr<CallerConnection>&, const std::string& id, uint64_t after);
     void nextEvent(const std::shared_ptr<CallerConnection>&, const std::string& id, uint64_t event);
     void later(std::chrono::milliseconds, std::function<void()>);
@@ -49,6 +63,8 @@
     std::optional<double> m_limit;
     std::function<void()> m_crash;
     bool m_losesAnswers { false };
+    std::string m_version; /**< Empty where the service is not moved between versions. */
+    VersionFault m_versionFault { VersionFault::None };
 };
 
 } // namespace siskinspread::soak
