--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -257,7 +257,9 @@
         break;
     }
     for (const auto& side : m_sides) {
-        noteWithoutStore(side, lasts);
+        if (lasts.count() > 0) {
+            noteWithoutStore(side, lasts);
+        }
     }
 }
 
