Crashing prompts: whole requests that crash replicas by themselves are held back

Cause: a trial that logged whole prompts showed that all nine requests had the same last part, and that sound requests shared their other two. Reports left the last part out. So the sound answers cleared the shared parts again and again, three crashes were counted where seven had been, and the shared part was tried 3 s after the last crash in place of 30 s.

Now the last part is reported and looked at like the others. Answers on it are kept only while it is in a report, since there are as many last parts as requests. Of several parts that speak against a request the one held longest decides.

Ruled out: the change of crashes in one failure domain (the replicas crashed in several, and the part had sound answers).

--- a/packages/decisions/include/siskinspread/PromptQuarantine.h
+++ b/packages/decisions/include/siskinspread/PromptQuarantine.h
@@ -63,7 +63,7 @@
     BootTime sentAt; /**< When the request was sent to the replica. */
     BootTime crashedAt;
     std::optional<BootTime> answeredAt; /**< When the newest request was sent that the replica answered or began to answer. */
-    std::vector<uint64_t> parts; /**< Shared parts of the prompt without those on which answers have gone on since. */
+    std::vector<uint64_t> parts; /**< Parts of the prompt without those on which answers have gone on since. */
     bool firstHand { false }; /**< The request was this host's. */
     BootTime notedAt; /**< When this host learned of it. */
 };
@@ -143,10 +143,10 @@
 SuspectParts suspectParts(const CrashEvidence&, const QuarantineOptions&);
 
 /**
- * @return the part for which a request is to be held back. A suspected part is passed over where parts that the request lacks explain
- * its crashes: a part that occurs beside the one that crashes replicas is suspected as well until an answer on it alone goes on. For a
- * part on which answers have gone on lately, the crashes that nothing else explains have to be as many as for any suspicion: one
- * connection that something on the way reset would otherwise hold back all requests that share it. Thread safety: const.
+ * @return the part for which a request is to be held back; of several the one held longest. A suspected part is passed over where parts
+ * that the request lacks explain its crashes: a part that occurs beside the one that crashes replicas is suspected as well until an
+ * answer on it alone goes on. For a part on which answers have gone on lately, the crashes that nothing else explains have to be as many
+ * as for any suspicion: one reset connection would otherwise hold back all requests that share it. Thread safety: const.
  */
 std::optional<uint64_t> decisivePart(const SuspectParts&, std::span<const PromptPart> sharedParts, const QuarantineOptions&);
 
--- a/packages/decisions/src/PromptQuarantine.cpp
+++ b/packages/decisions/src/PromptQuarantine.cpp
@@ -133,9 +133,9 @@
     }
 
     /** @return whether the part may have caused crashes under a request with these parts. */
-    bool isDecisive(const SuspectPart& suspect, std::span<const PromptPart> sharedParts, const QuarantineOptions& options)
+    bool isDecisive(const SuspectPart& suspect, std::span<const PromptPart> parts, const QuarantineOptions& options)
     {
-        const auto isInRequest = [&](uint64_t part) { return std::any_of(sharedParts.begin(), sharedParts.end(), [part](const PromptPart& other) { return other.id == part; }); };
+        const auto isInRequest = [&](uint64_t part) { return std::any_of(parts.begin(), parts.end(), [part](const PromptPart& other) { return other.id == part; }); };
         auto unexplained = suspect.crashes;
         for (const auto& cause : suspect.otherCauses) {
             if (!isInRequest(cause.part)) {
@@ -350,15 +350,17 @@
     return suspects;
 }
 
-std::optional<uint64_t> decisivePart(const SuspectParts& suspects, std::span<const PromptPart> sharedParts, const QuarantineOptions& options)
+std::optional<uint64_t> decisivePart(const SuspectParts& suspects, std::span<const PromptPart> parts, const QuarantineOptions& options)
 {
-    for (const auto& part : sharedParts) {
+    auto longest = suspects.end();
+    for (const auto& part : parts) {
         const auto suspect = suspects.find(part.id);
-        if (suspect != suspects.end() && isDecisive(suspect->second, sharedParts, options)) {
-            return part.id;
+        const bool isLonger = suspect != suspects.end() && (longest == suspects.end() || suspect->second.heldUntil > longest->second.heldUntil);
+        if (isLonger && isDecisive(suspect->second, parts, options)) {
+            longest = suspect;
         }
     }
-    return std::nullopt;
+    return longest == suspects.end() ? std::nullopt : std::optional { longest->first };
 }
 
 size_t trialHosts(const SuspectPart& suspect, const QuarantineOptions& options, BootTime now)
--- a/packages/forwarding/include/siskinspread/CrashWatch.h
+++ b/packages/forwarding/include/siskinspread/CrashWatch.h
@@ -23,7 +23,7 @@
     uint64_t replica { 0 };
     uint64_t failureDomain { 0 };
     BootTime sentAt;
-    std::vector<uint64_t> parts; /**< Ids of the shared parts. */
+    std::vector<uint64_t> parts; /**< Ids; first the last part of the prompt, which few requests share, then the others. */
 };
 
 /** Why a request is held back. */
--- a/packages/forwarding/src/CrashWatch.cpp
+++ b/packages/forwarding/src/CrashWatch.cpp
@@ -34,6 +34,11 @@
 
     constexpr size_t maxPartsLogged = 8;
 
+    bool isReported(const CrashEvidence& evidence, uint64_t part)
+    {
+        return std::any_of(evidence.reports.begin(), evidence.reports.end(), [part](const CrashReport& report) { return std::find(report.parts.begin(), report.parts.end(), part) != report.parts.end(); });
+    }
+
 } // namespace
 
 std::string partName(uint64_t part)
@@ -148,6 +153,10 @@
 {
     if (wentOn(answer)) {
         for (const auto part : answer.attempt.parts) {
+            // Last parts are many, and few come again: what is known of them is kept only while one is in a report.
+            if (part == answer.attempt.parts.front() && !isReported(m_evidence, part)) {
+                continue;
+            }
             if (noteSound(m_evidence, part, answer.begunAt, now)) {
                 m_suspectsCurrent = false;
             }
@@ -174,7 +183,7 @@
     if (suspects().empty()) {
         return std::nullopt;
     }
-    const auto part = decisivePart(m_suspects, sharedParts(prompt), m_options);
+    const auto part = decisivePart(m_suspects, prompt, m_options);
     if (!part) {
         return std::nullopt;
     }
@@ -189,7 +198,7 @@
 
 std::optional<uint64_t> CrashWatch::noteSent(std::span<const PromptPart> prompt)
 {
-    const auto part = suspects().empty() ? std::nullopt : decisivePart(m_suspects, sharedParts(prompt), m_options);
+    const auto part = suspects().empty() ? std::nullopt : decisivePart(m_suspects, prompt, m_options);
     if (part) {
         m_trials[*part] = BootClock::now();
     }
--- a/packages/forwarding/src/ExchangePrompt.cpp
+++ b/packages/forwarding/src/ExchangePrompt.cpp
@@ -13,7 +13,11 @@
     const auto& replica = *m_attempt.replica;
     const auto& domain = replica.entry.failureDomain;
     PromptAttempt attempt { .id = XXH64(id.data(), id.size(), replica.identity), .replica = replica.identity, .failureDomain = XXH64(domain.data(), domain.size(), 0), .sentAt = m_attempt.sentAtBoot };
-    for (const auto& part : sharedParts(m_request.caller.prompt)) {
+    const auto& prompt = m_request.caller.prompt;
+    if (!prompt.empty()) {
+        attempt.parts.push_back(prompt.back().id);
+    }
+    for (const auto& part : sharedParts(prompt)) {
         attempt.parts.push_back(part.id);
     }
     return attempt;
