--- a/packages/decisions/src/PromptQuarantine.cpp
+++ b/packages/decisions/src/PromptQuarantine.cpp
@@ -163,6 +163,20 @@
         });
     }
 
+    /** Last parts of prompts are many, and few come again; parts that many requests share have newer answers. */
+    void dropOldestSound(CrashEvidence& evidence, const QuarantineOptions& options)
+    {
+        if (evidence.sound.size() <= options.maxSound) {
+            return;
+        }
+        std::vector<BootTime> begun;
+        begun.reserve(evidence.sound.size());
+        std::transform(evidence.sound.begin(), evidence.sound.end(), std::back_inserter(begun), [](const auto& entry) { return entry.second.begunAt; });
+        const auto firstKept = begun.begin() + static_cast<std::ptrdiff_t>(begun.size() - options.maxSound);
+        std::nth_element(begun.begin(), firstKept, begun.end());
+        std::erase_if(evidence.sound, [oldest = *firstKept](const auto& entry) { return entry.second.begunAt < oldest; });
+    }
+
     bool supports(const CrashReport& report, const SuspectParts& suspects)
     {
         return std::any_of(report.parts.begin(), report.parts.end(), [&](uint64_t part) { return suspects.contains(part); });
@@ -319,9 +333,7 @@
         const auto& sound = entry.second;
         return now - sound.begunAt > options.soundKept && (!sound.clearedAt || now - *sound.clearedAt > options.evidenceKept);
     });
-    if (evidence.sound.size() > options.maxSound) {
-        std::erase_if(evidence.sound, [](const auto& entry) { return !entry.second.clearedAt; });
-    }
+    dropOldestSound(evidence, options);
 }
 
 std::optional<BootTime> crashOf(const CrashEvidence& evidence, uint64_t replica, BootTime notBefore)
--- a/packages/decisions/tests/PromptQuarantineTest.cpp
+++ b/packages/decisions/tests/PromptQuarantineTest.cpp
@@ -349,6 +349,22 @@
     CHECK(suspectParts(observer.evidence, observer.options).at(crashingPart).heldUntil == lastCrash + observer.options.firstHold);
 }
 
+// Guards against shared parts being forgotten for the last parts of prompts, which are as many as requests.
+TEST_CASE("of too many parts with sound answers those with the newest answers are kept")
+{
+    Observer observer;
+    const auto most = observer.options.maxSound;
+    noteSound(observer.evidence, firstPart, start, start + 1s);
+    for (uint64_t i = 0; i < most; ++i) {
+        noteSound(observer.evidence, 1000 + i, start + i * 1ms, start + 5s);
+    }
+    noteSound(observer.evidence, firstPart, start + 5s, start + 5s);
+    forgetOld(observer.evidence, {}, observer.options, start + 6s);
+    CHECK(observer.evidence.sound.size() == most);
+    CHECK(observer.evidence.sound.contains(firstPart));
+    CHECK_FALSE(observer.evidence.sound.contains(1000));
+}
+
 TEST_CASE("reports and sound answers are forgotten in the end")
 {
     auto observer = afterThreeCrashes();
--- a/packages/forwarding/src/CrashWatch.cpp
+++ b/packages/forwarding/src/CrashWatch.cpp
@@ -34,11 +34,6 @@
 
     constexpr size_t maxPartsLogged = 8;
 
-    bool isReported(const CrashEvidence& evidence, uint64_t part)
-    {
-        return std::any_of(evidence.reports.begin(), evidence.reports.end(), [part](const CrashReport& report) { return std::find(report.parts.begin(), report.parts.end(), part) != report.parts.end(); });
-    }
-
 } // namespace
 
 std::string partName(uint64_t part)
@@ -153,10 +148,6 @@
 {
     if (wentOn(answer)) {
         for (const auto part : answer.attempt.parts) {
-            // Last parts are many, and few come again: what is known of them is kept only while one is in a report.
-            if (part == answer.attempt.parts.front() && !isReported(m_evidence, part)) {
-                continue;
-            }
             if (noteSound(m_evidence, part, answer.begunAt, now)) {
                 m_suspectsCurrent = false;
             }
