--- a/packages/decisions/include/siskinspread/PromptQuarantine.h
+++ b/packages/decisions/include/siskinspread/PromptQuarantine.h
@@ -148,7 +148,7 @@
  * answer on it alone goes on. For a part on which answers have gone on lately, the crashes that nothing else explains have to be as many
  * as for any suspicion: one reset connection would otherwise hold back all requests that share it. Thread safety: const.
  */
-std::optional<uint64_t> decisivePart(const SuspectParts&, std::span<const PromptPart> sharedParts, const QuarantineOptions&);
+std::optional<uint64_t> decisivePart(const SuspectParts&, std::span<const PromptPart> parts, const QuarantineOptions&);
 
 /** @return how many hosts may try a request with the part. Thread safety: const. */
 size_t trialHosts(const SuspectPart&, const QuarantineOptions&, BootTime now);
