--- /dev/null
+++ b/review/10/case.py
@@ -0,0 +1,131 @@
+"""A slow replica leaves: do callers get streams, whose runs it stopped to move them, as complete?"""
+
+import asyncio
+import json
+import os
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+import standins_2 as s  # noqa: E402
+
+MACHINES, REPLICAS = 3, 7
+STREAMS = 45
+EVENTS = 40
+EVENT_S = 0.15
+ORDER_S = 0.24  # until an order to move a run is carried out
+SLOWER = 5  # srv_slow: x = 5 at a share of 0.16 of the replicas, here one of seven
+NOTICE_S = 4.0
+
+
+def event(number, attempt):
+    return f"id: {number}\ndata: piece {number} of {attempt}\n\n".encode()
+
+
+class Engine(s.Replica):
+    """Its streams have no length and no chunks and end with their connection."""
+
+    pool = ()
+    pace = 1
+
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.live, self.copies, self.leaves_at = {}, {}, None
+
+    def report(self):
+        left = {} if self.leaves_at is None else {"leaves_ms": max(0, int((self.leaves_at - time.monotonic()) * 1000))}
+        return {**super().report(), "active": len(self.live), **left}
+
+    async def control(self, head, body, writer):
+        order = json.loads(body) if body else {}
+        self.record(f"replica {self.instance} gets {head.first} {order}")
+        await asyncio.sleep(ORDER_S * self.pace)
+        stop = self.live.get(order.get("id"))
+        if stop is None:
+            writer.write(s.message(404, phrase="Not Found"))
+            return
+        made = await stop()
+        self.record(f"replica {self.instance} has stopped {order['id']} after event {made} and closed its stream without its end")
+        handle = f"h-{order['id']}"
+        for replica in self.pool:
+            if f"{replica.address}:{replica.port}" == order["to"]:
+                replica.copies[f"{self.address}:{self.port}/{handle}"] = made
+        writer.write(s.message(200, [("Content-Type", "application/json")], json.dumps({"handle": handle, "create_rev": made}).encode()))
+
+    async def run(self, head, body, writer):
+        attempt, after, memory = head.get("x-attempt-id"), int(head.get("last-event-id", "0")), head.get("kv-from")
+        if memory and self.copies.pop(memory, None) is None:
+            writer.write(s.message(503, [("X-Attempt-Id", attempt), ("X-Not-Executed", "1")], phrase="Service Unavailable"))
+            return True
+        fields = self.seal(head) + [("Content-Type", "text/event-stream"), ("Connection", "close")]
+        writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields) + "\r\n").encode())
+        stopping, stopped, made = asyncio.Event(), asyncio.Event(), [after]
+
+        async def stop():
+            stopping.set()
+            await stopped.wait()
+            return made[0]
+
+        self.live[attempt] = stop
+        try:
+            for number in range(after + 1, EVENTS + 1):
+                if stopping.is_set():
+                    break
+                writer.write(event(number, attempt))
+                made[0] = number
+                await writer.drain()
+                await asyncio.sleep(EVENT_S * self.pace)
+            else:
+                self.record(f"replica {self.instance} has completed {attempt}")
+            writer.close()
+        finally:
+            self.live.pop(attempt, None)
+            stopped.set()
+        return False
+
+
+async def case(record, directory, hosts):
+    platform = s.Platform(record)
+    await platform.start()
+    routes = [s.route("r-quote", "streaming", "/quote/", "pool", can_resume=False)]
+    platform.put("config", "main", s.configuration(1, routes, [s.service("pool", s.ENGINE)], [s.TENANT]))
+    pool = [Engine(record, f"i-{number}", "pool", f"127.0.5.{number}") for number in range(1, REPLICAS + 1)]
+    for replica in pool:
+        replica.pool = pool
+        await replica.start()
+        platform.put("servers", replica.instance, replica.entry(spot=True))
+    peer_port = s.free_port("127.0.4.1")
+    for number in range(MACHINES):
+        host = s.Host(directory, number + 1, platform, peer_port)
+        hosts.append(host)
+        await host.start()
+    for host in hosts:
+        await host.until_ready()
+    await asyncio.sleep(1)
+
+    async def one(number):
+        prompt = [("X-Model", "m"), ("X-Token-Usage", "5402,200"), ("X-Prompt-Prefix", f"5c1e07a2:5382,{0x1000 + number:x}:20")]
+        return await s.ask(hosts[number % MACHINES], s.request("POST", f"/quote/{number}", f"s-{number}", deadline_ms=15000, headers=prompt, body=b"x"), 30)
+
+    tasks = []
+    for number in range(STREAMS):
+        tasks.append(asyncio.create_task(one(number)))
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.5)
+    leaving = max(pool, key=lambda replica: len(replica.live))
+    leaving.pace = SLOWER if s.trouble() else 1
+    leaving.state, leaving.leaves_at = "draining", time.monotonic() + NOTICE_S
+    platform.put("servers", leaving.instance, leaving.entry(spot=True, leaves_ms=int(NOTICE_S * 1000)))
+    record(f"replica {leaving.instance} with {len(leaving.live)} streams leaves in {NOTICE_S} s; it works {leaving.pace} times as long as usual")
+
+    broken = []
+    for number, task in enumerate(tasks):
+        answer = await task
+        events = answer.body.count(b"\n\n")
+        record(f"client s-{number}: {answer.status}, {events} events, {'complete' if answer.complete else 'broken off: ' + answer.why}")
+        if answer.status == 200 and answer.complete and events < EVENTS:
+            broken.append(f"ORDER: s-{number} ended as complete after event {events} of {EVENTS}")
+    return broken
+
+
+s.play(__file__, case)
