--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -111,8 +111,8 @@
         """What a copy of the store holds that is made now."""
         return json.loads(json.dumps({"revision": self.revision, "kinds": self.kinds}))
 
-    async def drill(self, copy, away_s=1.0):
-        """The store is away for a moment and comes back from an older copy; the operator and the replicas write again what they wrote."""
+    async def drill(self, copy, away_s=1.0, written_again_s=0.0):
+        """The store is away for a moment and comes back from an older copy; some time after that the operator and the replicas write again."""
         self.away = True
         for writer in list(self.connections):
             writer.transport.abort()
@@ -121,6 +121,10 @@
         self.revision, self.kinds = copy["revision"], copy["kinds"]
         self.history = [entry for entry in self.history if entry[0] <= self.revision]
         self.era += 1
+        if written_again_s > 0:
+            self.away = False
+            self.record(f"the store is back from a copy, era {self.era}, revision {self.revision}")
+            await asyncio.sleep(written_again_s)
         for kind in ("config", "servers"):
             now, wanted = self.kinds.get(kind, {}), before.get(kind, {})
             for name in [name for name in now if name not in wanted]:
@@ -129,7 +133,7 @@
                 if name not in now or now[name]["spec"] != stored["spec"]:
                     self.put(kind, name, stored["spec"])
         self.away = False
-        self.record(f"the store is back from a copy, era {self.era}, revision {self.revision}")
+        self.record(f"the operator and the replicas have written again, era {self.era}, revision {self.revision}")
 
     def object(self, kind, name):
         return self.kinds.get(kind, {}).get(name)
