--- a/review/10/case.py
+++ b/review/10/case.py
@@ -12,9 +12,9 @@
 MACHINES, REPLICAS = 3, 7
 STREAMS = 45
 EVENTS = 40
-EVENT_S = 0.15
-ORDER_S = 0.24  # until an order to move a run is carried out
-SLOWER = 5  # srv_slow: x = 5 at a share of 0.16 of the replicas, here one of seven
+EVENT_S = 0.1
+ORDER_S = 0.12  # until an order to move a run is carried out
+SLOWER = 8  # srv_grey, slow: x = 8 at a share of 0.15 of the replicas, here one of seven
 NOTICE_S = 4.0
 
 
