--- a/review/10/case.py
+++ b/review/10/case.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import os
+import socket
+import struct
 import sys
 import time
 
@@ -15,7 +17,7 @@
 EVENT_S = 0.1
 ORDER_S = 0.12  # until an order to move a run is carried out
 SLOWER = 8  # srv_grey, slow: x = 8 at a share of 0.15 of the replicas, here one of seven
-NOTICE_S = 4.0
+STAYS_S = 9.0  # after it has said that it leaves: drain_ms (2 s) "and a little longer (at times many seconds)"
 
 
 def event(number, attempt):
@@ -30,11 +32,34 @@
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
-        self.live, self.copies, self.leaves_at = {}, {}, None
+        self.live, self.copies, self.writers, self.stopped, self.gone = {}, {}, set(), set(), False
 
     def report(self):
-        left = {} if self.leaves_at is None else {"leaves_ms": max(0, int((self.leaves_at - time.monotonic()) * 1000))}
-        return {**super().report(), "active": len(self.live), **left}
+        return {**super().report(), "active": len(self.live)}
+
+    def leaving(self):
+        return [("Server-Leaving", "1")] if self.state == "draining" else []
+
+    def seal(self, head):
+        return super().seal(head) + self.leaving()
+
+    async def serve(self, reader, writer):
+        if self.gone:
+            writer.transport.abort()
+            return
+        self.writers.add(writer)
+        try:
+            await super().serve(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    def end(self):
+        """The process exits: what is still at work is reset."""
+        self.gone = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
 
     async def control(self, head, body, writer):
         order = json.loads(body) if body else {}
@@ -42,15 +67,16 @@
         await asyncio.sleep(ORDER_S * self.pace)
         stop = self.live.get(order.get("id"))
         if stop is None:
-            writer.write(s.message(404, phrase="Not Found"))
+            writer.write(s.message(404, self.leaving(), phrase="Not Found"))
             return
         made = await stop()
+        self.stopped.add(order["id"])
         self.record(f"replica {self.instance} has stopped {order['id']} after event {made} and closed its stream without its end")
         handle = f"h-{order['id']}"
         for replica in self.pool:
             if f"{replica.address}:{replica.port}" == order["to"]:
                 replica.copies[f"{self.address}:{self.port}/{handle}"] = made
-        writer.write(s.message(200, [("Content-Type", "application/json")], json.dumps({"handle": handle, "create_rev": made}).encode()))
+        writer.write(s.message(200, [("Content-Type", "application/json")] + self.leaving(), json.dumps({"handle": handle, "create_rev": made}).encode()))
 
     async def run(self, head, body, writer):
         attempt, after, memory = head.get("x-attempt-id"), int(head.get("last-event-id", "0")), head.get("kv-from")
@@ -74,7 +100,10 @@
                 writer.write(event(number, attempt))
                 made[0] = number
                 await writer.drain()
-                await asyncio.sleep(EVENT_S * self.pace)
+                try:
+                    await asyncio.wait_for(stopping.wait(), EVENT_S * self.pace)
+                except asyncio.TimeoutError:
+                    pass
             else:
                 self.record(f"replica {self.instance} has completed {attempt}")
             writer.close()
@@ -93,7 +122,7 @@
     for replica in pool:
         replica.pool = pool
         await replica.start()
-        platform.put("servers", replica.instance, replica.entry(spot=True))
+        platform.put("servers", replica.instance, replica.entry())
     peer_port = s.free_port("127.0.4.1")
     for number in range(MACHINES):
         host = s.Host(directory, number + 1, platform, peer_port)
@@ -114,17 +143,26 @@
     await asyncio.sleep(0.5)
     leaving = max(pool, key=lambda replica: len(replica.live))
     leaving.pace = SLOWER if s.trouble() else 1
-    leaving.state, leaving.leaves_at = "draining", time.monotonic() + NOTICE_S
-    platform.put("servers", leaving.instance, leaving.entry(spot=True, leaves_ms=int(NOTICE_S * 1000)))
-    record(f"replica {leaving.instance} with {len(leaving.live)} streams leaves in {NOTICE_S} s; it works {leaving.pace} times as long as usual")
-
+    leaving.state = "draining"
+    platform.put("servers", leaving.instance, leaving.entry())
+    said = time.monotonic()
+    record(f"replica {leaving.instance} with {len(leaving.live)} streams says that it leaves; it works {leaving.pace} times as long as usual")
+
+    async def end_replica():
+        await asyncio.sleep(STAYS_S)
+        record(f"replica {leaving.instance} ends {time.monotonic() - said:.1f} s after it said that it leaves, with {len(leaving.live)} streams")
+        platform.remove("servers", leaving.instance)
+        leaving.end()
+
+    ending = asyncio.create_task(end_replica())
     broken = []
     for number, task in enumerate(tasks):
         answer = await task
         events = answer.body.count(b"\n\n")
         record(f"client s-{number}: {answer.status}, {events} events, {'complete' if answer.complete else 'broken off: ' + answer.why}")
-        if answer.status == 200 and answer.complete and events < EVENTS:
+        if f"s-{number}" in leaving.stopped and answer.status == 200 and answer.complete and events < EVENTS:
             broken.append(f"ORDER: s-{number} ended as complete after event {events} of {EVENTS}")
+    await ending
     return broken
 
 
