Serve what a list has shown when its next page cannot be had

Where the store refuses the next page, or answers with one that was had already, a feed began the list anew, without an end, and told nothing; no host became ready.

Change: addPage (DocumentList.h) tells whether a page went on. A list that ends early tells its documents as changes. Nothing is taken for gone that it does not show. A watch follows from the first page's revision, or from what was known before, and the list is read again after 150 ms at first, 10 s at most. Meanwhile the host asks the store itself, and those that follow it are told of the gap. A configuration counts as proven current only if the list has shown it. The state is in the log ("list incomplete", "list complete") and in the metrics (list_incomplete). A list also proves no more than the instant at which its first page was asked for; before, it was the last page's.

--- a/packages/forwarding/include/siskinspread/ForwardingMetrics.h
+++ b/packages/forwarding/include/siskinspread/ForwardingMetrics.h
@@ -47,6 +47,8 @@
     void setReplicasLimited(size_t count);
     void setPartsSuspected(size_t count);
     void setPeers(size_t count);
+    /** @param feed configuration, replicas, rollouts or hosts. */
+    void setListIncomplete(std::string_view feed, bool incomplete);
     void setLogLinesLeftOut(uint64_t lines);
 
     /** @return all series in the text format of Prometheus. */
--- a/packages/forwarding/include/siskinspread/StoreFeed.h
+++ b/packages/forwarding/include/siskinspread/StoreFeed.h
@@ -2,6 +2,7 @@
 
 #include "siskinspread/BootClock.h"
 #include "siskinspread/ChangeLog.h"
+#include "siskinspread/DocumentList.h"
 #include "siskinspread/HostLog.h"
 #include "siskinspread/PlatformAdapter.h"
 #include "siskinspread/StoreCalls.h"
@@ -27,6 +28,7 @@
     std::chrono::milliseconds changePause { 100 }; /**< After an answer with changes: those that follow come in one answer. */
     std::chrono::milliseconds retryDelay { 150 }; /**< After a call that failed; doubled up to longestRetryDelay. */
     std::chrono::milliseconds longestRetryDelay { 600 };
+    std::chrono::milliseconds longestListDelay { 10000 }; /**< Between tries to complete a list; they begin with retryDelay. */
 };
 
 /** What a feed tells its owner. All on the loop thread. */
@@ -39,6 +41,12 @@
     std::function<void(bool reachable, std::string_view why)> onReachable;
     /** From here on the changes come from other hosts, or from the store. */
     std::function<void(bool follows, std::string_view why)> onSource;
+    /**
+     * Whether the newest list was read to its end. One that was not is told by onChange, document by document: documents that it
+     * does not show may exist, have changed or be gone. Called before them, after each gap in what is known; with true after the
+     * onList that ends this.
+     */
+    std::function<void(bool complete, std::string_view why)> onComplete;
 };
 
 /** A change as a feed has read it. */
@@ -56,7 +64,8 @@
 };
 
 /**
- * Follows a collection of the store: lists it, then watches; lists again when the history is gone or a call failed. A feed that
+ * Follows a collection of the store: lists it, then watches; lists again when the history is gone, a call failed or the list could
+ * not be read to its end, in which case the documents that it has shown are followed meanwhile. A feed that
  * follows others takes what they have read, and asks the store only where that has gaps or grows old. Loop thread only.
  */
 class StoreFeed {
@@ -90,11 +99,15 @@
     bool applyBatch(FeedBatch&);
     void record(uint64_t from, uint64_t asOf, std::vector<FeedChange>&&);
     std::vector<FeedChange> changesByList(const std::vector<StoreDocument>&, bool recovering);
+    void useWholeList(BootTime askedAt);
+    void useIncompleteList(std::string_view why);
+    bool isListDue() const { return m_listAgainAt && std::chrono::steady_clock::now() >= *m_listAgainAt; }
     bool isKnown(const StoreChange&) const;
     void noteKnown(const StoreChange&);
     void becomeReachable();
-    void list(std::string_view after);
-    void onListed(const TransferEnded&, BootTime askedAt);
+    void list();
+    void readPage(std::string_view after, BootTime askedAt);
+    void onPage(const TransferEnded&, BootTime askedAt);
     void watch();
     void onWatched(const TransferEnded&, BootTime askedAt);
     void fail(std::string_view why, bool listAgain);
@@ -107,8 +120,11 @@
     StoreFeedOptions m_options;
     StoreFeedHandlers m_handlers;
     asio::steady_timer m_timer;
-    std::vector<StoreDocument> m_documents; /**< Pages of a list that is not complete yet. */
-    std::optional<uint64_t> m_listedFrom; /**< Revision that the first page of the list shows. */
+    DocumentList m_list; /**< That is being read. */
+    std::optional<MonotonicTime> m_listAgainAt; /**< Set while the newest list is incomplete. */
+    std::chrono::milliseconds m_listDelay { 0 };
+    bool m_absenceUntold { false }; /**< Of the store, while no list has been read to its end since. */
+    bool m_historyGone { false }; /**< Changes behind m_asOf are not known, until a list has been read. */
     std::optional<uint64_t> m_asOf; /**< Empty: to be listed again. */
     std::optional<uint64_t> m_listedTo; /**< Revision up to which everything is known, also while a new list is on its way. */
     std::chrono::milliseconds m_delay { 0 };
--- a/packages/forwarding/include/siskinspread/StoreReader.h
+++ b/packages/forwarding/include/siskinspread/StoreReader.h
@@ -31,6 +31,7 @@
     void loseReplica(const std::string& instance, bool recovering, std::string_view why);
     void logReachable(std::string_view feed, bool reachable, std::string_view why);
     void logSource(std::string_view feed, bool follows, std::string_view why);
+    void noteComplete(std::string_view feed, bool complete, std::string_view why);
 
     const PlatformAdapter& m_adapter;
     PeerExchange& m_peers;
@@ -41,6 +42,7 @@
     StoreFeed m_rollouts; /**< Not started while all replicas of each service have one version. */
     StoreNews m_news;
     bool m_readsRollouts { false };
+    bool m_configurationListed { true }; /**< Otherwise the newest list was incomplete and has not shown the configuration. */
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/src/ForwardingMetrics.cpp
+++ b/packages/forwarding/src/ForwardingMetrics.cpp
@@ -167,6 +167,11 @@
     m_series->state.Add({ { "what", "peers" } }).Set(static_cast<double>(count));
 }
 
+void ForwardingMetrics::setListIncomplete(std::string_view feed, bool incomplete)
+{
+    m_series->state.Add({ { "what", "list_incomplete" }, { "feed", std::string { feed } } }).Set(incomplete ? 1 : 0);
+}
+
 void ForwardingMetrics::setLogLinesLeftOut(uint64_t lines)
 {
     m_series->state.Add({ { "what", "log_lines_left_out" } }).Set(static_cast<double>(lines));
--- a/packages/forwarding/src/StoreFeed.cpp
+++ b/packages/forwarding/src/StoreFeed.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/StoreFeed.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace siskinspread {
 
@@ -12,6 +13,14 @@
     // A watch is answered after a second without changes and asked anew: its age reaches twice that, and a message's way is added.
     constexpr std::chrono::milliseconds newsTooOld { 2600 };
 
+    std::string failureText(const TransferEnded& ended, const LastReason& reason)
+    {
+        if (!reason.detail.empty()) {
+            return reason.detail;
+        }
+        return ended.detail.empty() ? std::string { "status " }.append(std::to_string(ended.status)) : ended.detail;
+    }
+
 } // namespace
 
 StoreFeed::StoreFeed(asio::io_context& context, StoreCalls& calls, const PlatformAdapter& adapter, StoreFeedOptions options, StoreFeedHandlers handlers)
@@ -25,45 +34,65 @@
 
 void StoreFeed::start()
 {
-    list({});
+    list();
 }
 
-void StoreFeed::list(std::string_view after)
+void StoreFeed::list()
 {
-    if (after.empty()) {
-        m_documents.clear();
-        m_listedFrom.reset();
-    }
-    const auto askedAt = BootClock::now();
-    m_calls.start(m_options.purpose, m_adapter.listDocuments(m_options.collection, after), [this, askedAt](const TransferEnded& ended) { onListed(ended, askedAt); });
+    m_list = {};
+    readPage({}, BootClock::now());
+}
+
+/** @param askedAt when the first page was asked for. */
+void StoreFeed::readPage(std::string_view after, BootTime askedAt)
+{
+    m_calls.start(m_options.purpose, m_adapter.listDocuments(m_options.collection, after), [this, askedAt](const TransferEnded& ended) { onPage(ended, askedAt); });
 }
 
-void StoreFeed::onListed(const TransferEnded& ended, BootTime askedAt)
+void StoreFeed::onPage(const TransferEnded& ended, BootTime askedAt)
 {
     LastReason reason;
     auto page = m_adapter.storeAnswer(ended, false) == StoreAnswer::Done ? m_adapter.decodePage(ended, reason) : std::nullopt;
     if (!page) {
-        fail(reason.detail.empty() ? ended.detail : reason.detail, true);
+        const auto why = failureText(ended, reason);
+        if (m_list.asOf) {
+            useIncompleteList(why);
+        } else {
+            fail(why, m_historyGone || !m_asOf);
+        }
         return;
     }
-    std::move(page->documents.begin(), page->documents.end(), std::back_inserter(m_documents));
-    // Later pages show later revisions, so what changes between two pages is known only from a watch that begins with the first.
-    m_listedFrom = m_listedFrom.value_or(page->asOf);
-    if (page->truncated && !m_documents.empty()) {
-        list(m_documents.back().name);
-        return;
+    switch (addPage(m_list, std::move(*page))) {
+    case ListProgress::NextPage:
+        readPage(m_list.documents.back().name, askedAt);
+        break;
+    case ListProgress::NotAdvancing:
+        useIncompleteList("the list does not go on behind its last entry");
+        break;
+    case ListProgress::Complete:
+        useWholeList(askedAt);
+        break;
     }
-    const bool recovering = succeed();
+}
+
+void StoreFeed::useWholeList(BootTime askedAt)
+{
+    const bool recovering = succeed() || m_absenceUntold;
+    m_absenceUntold = false;
     const bool isFirst = !m_listedTo;
-    auto documents = std::move(m_documents);
-    m_documents = {};
-    auto changes = changesByList(documents, recovering);
+    auto list = std::exchange(m_list, {});
+    auto changes = changesByList(list.documents, recovering);
     // Without a list before this one, there is nothing that the changes would join up with.
-    record(m_listedTo.value_or(*m_listedFrom), *m_listedFrom, m_listedTo ? std::move(changes) : std::vector<FeedChange> {});
-    m_asOf = m_listedFrom;
+    record(m_listedTo.value_or(*list.asOf), *list.asOf, m_listedTo ? std::move(changes) : std::vector<FeedChange> {});
+    m_asOf = list.asOf;
     m_askedAt = askedAt;
     m_newsIncomplete = false;
-    m_handlers.onList(std::move(documents), recovering);
+    m_historyGone = false;
+    m_listDelay = std::chrono::milliseconds { 0 };
+    m_handlers.onList(std::move(list.documents), recovering);
+    if (std::exchange(m_listAgainAt, std::nullopt)) {
+        m_handlers.onComplete(true, {});
+    }
     m_handlers.onCurrent(askedAt);
     if (isFirst && m_options.joinPause.count() > 0) {
         nextAfter(m_options.joinPause);
@@ -72,11 +101,43 @@
     }
 }
 
+void StoreFeed::useIncompleteList(std::string_view why)
+{
+    const bool recovering = succeed();
+    m_absenceUntold = m_absenceUntold || recovering;
+    auto list = std::exchange(m_list, {});
+    const bool hasGap = m_historyGone || !m_asOf;
+    if (hasGap) {
+        // What changed in the part that was not shown is not known: those that follow this host have to ask the store.
+        record(m_listedTo.value_or(*list.asOf), *list.asOf, m_listedTo ? std::vector<FeedChange> { { .withContent = false } } : std::vector<FeedChange> {});
+        m_asOf = list.asOf;
+        m_historyGone = false;
+    }
+    m_listDelay = std::min(m_options.longestListDelay, std::max(m_options.retryDelay, m_listDelay * 2));
+    m_listAgainAt = std::chrono::steady_clock::now() + m_listDelay;
+    if (hasGap) {
+        m_handlers.onComplete(false, why);
+    }
+    for (auto& document : list.documents) {
+        StoreChange change { .document = std::move(document) };
+        if (!hasGap && isKnown(change)) {
+            continue;
+        }
+        noteKnown(change);
+        m_handlers.onChange(std::move(change), recovering);
+    }
+    next();
+}
+
 void StoreFeed::watch()
 {
     const auto askedAt = BootClock::now();
     // A store that was lost is asked for an answer at once: it shows that the store is back, and that this host is current.
-    const auto wait = m_reachable ? m_options.watchWait : std::chrono::milliseconds { 0 };
+    auto wait = m_reachable ? m_options.watchWait : std::chrono::milliseconds { 0 };
+    if (m_listAgainAt) {
+        const auto untilList = std::chrono::ceil<std::chrono::milliseconds>(*m_listAgainAt - std::chrono::steady_clock::now());
+        wait = std::clamp(untilList, std::chrono::milliseconds { 0 }, wait);
+    }
     m_calls.start(m_options.purpose, m_adapter.watchDocuments(m_options.collection, *m_asOf, wait), [this, askedAt](const TransferEnded& ended) { onWatched(ended, askedAt); });
 }
 
@@ -86,11 +147,12 @@
     LastReason reason;
     auto changes = answer == StoreAnswer::Done ? m_adapter.decodeChanges(ended, reason) : std::nullopt;
     if (answer == StoreAnswer::HistoryGone) {
-        list({});
+        m_historyGone = true;
+        list();
         return;
     }
     if (!changes) {
-        fail(reason.detail.empty() ? ended.detail : reason.detail, !reason.detail.empty());
+        fail(failureText(ended, reason), !reason.detail.empty());
         return;
     }
     const bool recovering = succeed();
@@ -128,6 +190,9 @@
     if (!m_follows) {
         return "this host reads the store itself";
     }
+    if (m_listAgainAt) {
+        return "the list of this host is incomplete";
+    }
     if (m_newsIncomplete) {
         return "changes are missing in what other hosts reported";
     }
@@ -145,7 +210,12 @@
         m_resting = reason.empty();
         m_handlers.onSource(m_resting, reason);
     }
-    if (!m_resting) {
+    if (m_resting) {
+        return;
+    }
+    if (isListDue()) {
+        list();
+    } else {
         watch();
     }
 }
@@ -300,7 +370,7 @@
     if (m_asOf) {
         next();
     } else {
-        list({});
+        list();
     }
 }
 
--- a/packages/forwarding/src/StoreReader.cpp
+++ b/packages/forwarding/src/StoreReader.cpp
@@ -69,6 +69,12 @@
     m_log.info(follows ? "peers followed" : "store asked", { { "feed", feed }, { "why", why } });
 }
 
+void StoreReader::noteComplete(std::string_view feed, bool complete, std::string_view why)
+{
+    m_log.warning(complete ? "list complete" : "list incomplete", { { "feed", feed }, { "why", why } });
+    m_forwarder.metrics().setListIncomplete(feed, !complete);
+}
+
 StoreFeedHandlers StoreReader::configurationHandlers()
 {
     return {
@@ -81,11 +87,14 @@
                 applyConfiguration(change.document);
             } },
         .onCurrent = [this](BootTime askedAt) {
-            if (m_forwarder.table()) {
+            if (m_forwarder.table() && m_configurationListed) {
                 m_forwarder.setProvenAt(askedAt);
             } },
         .onReachable = [this](bool reachable, std::string_view why) { logReachable("configuration", reachable, why); },
         .onSource = [this](bool follows, std::string_view why) { logSource("configuration", follows, why); },
+        .onComplete = [this](bool complete, std::string_view why) {
+            m_configurationListed = complete;
+            noteComplete("configuration", complete, why); },
     };
 }
 
@@ -102,6 +111,7 @@
         .onCurrent = [](BootTime) {},
         .onReachable = [this](bool reachable, std::string_view why) { logReachable("replicas", reachable, why); },
         .onSource = [this](bool follows, std::string_view why) { logSource("replicas", follows, why); },
+        .onComplete = [this](bool complete, std::string_view why) { noteComplete("replicas", complete, why); },
     };
 }
 
@@ -113,6 +123,7 @@
         m_log.error("configuration unreadable", { { "document", document.name }, { "revision", document.revision }, { "why", reason.detail } });
         return;
     }
+    m_configurationListed = true;
     const auto& current = m_forwarder.table();
     if (current && configuration->version <= current->configuration().version) {
         return;
@@ -138,6 +149,7 @@
         .onCurrent = [](BootTime) {},
         .onReachable = [this](bool reachable, std::string_view why) { logReachable("rollouts", reachable, why); },
         .onSource = [this](bool follows, std::string_view why) { logSource("rollouts", follows, why); },
+        .onComplete = [this](bool complete, std::string_view why) { noteComplete("rollouts", complete, why); },
     };
 }
 
