Read all pages of the list of hosts

Callers: with more hosts than a page holds, or with entries of other writers in front, hosts did not find each other: limits, loads and news went only between those of the first page.

Cause: HostRegistry took the first page for the list.

Evidence: "a host finds the others on all pages of their list, past odd entries".

Change: the pages join up as in a feed (DocumentList.h); where a later one cannot be had, the hosts of the earlier ones are used and the state is told as for feeds.

--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -49,7 +49,7 @@
         , m_incarnation((static_cast<uint64_t>(std::random_device {}()) << 32U) | std::random_device {}())
         , m_peers(m_context, m_settings, m_forwarder, m_log, m_incarnation)
         , m_duties(m_settings, *m_adapter, m_forwarder, m_peers, m_calls, m_log, m_time, m_incarnation)
-        , m_registry(m_context, m_settings, *m_adapter, m_calls, m_peers, m_log, m_incarnation)
+        , m_registry(m_context, m_settings, *m_adapter, m_calls, m_peers, m_log, m_metrics, m_incarnation)
         , m_store(m_context, m_settings, *m_adapter, m_calls, m_peers, m_forwarder, m_log)
         , m_callers(m_context, m_settings, m_log, m_metrics,
               { .onRequest = [this](ReceivedRequest&& request) { m_forwarder.accept(std::move(request)); },
--- a/packages/forwarding/src/HostRegistry.cpp
+++ b/packages/forwarding/src/HostRegistry.cpp
@@ -17,12 +17,13 @@
 
 } // namespace
 
-HostRegistry::HostRegistry(asio::io_context& context, const ForwardingSettings& settings, const PlatformAdapter& adapter, StoreCalls& calls, PeerExchange& peers, HostLog& log, uint64_t incarnation)
+HostRegistry::HostRegistry(asio::io_context& context, const ForwardingSettings& settings, const PlatformAdapter& adapter, StoreCalls& calls, PeerExchange& peers, HostLog& log, ForwardingMetrics& metrics, uint64_t incarnation)
     : m_settings(settings)
     , m_adapter(adapter)
     , m_calls(calls)
     , m_peers(peers)
     , m_log(log)
+    , m_metrics(metrics)
     , m_timer(context)
     , m_content { { "address", settings.callers.address }, { "port", settings.peerPort }, { "incarnation", incarnation } }
 {
@@ -72,19 +73,49 @@
 
 void HostRegistry::list()
 {
-    m_calls.start("hosts", m_adapter.listDocuments(StoreCollection::Hosts, {}), [this](const TransferEnded& ended) {
-        LastReason reason;
-        auto page = m_adapter.storeAnswer(ended, false) == StoreAnswer::Done ? m_adapter.decodePage(ended, reason) : std::nullopt;
-        if (!page) {
-            m_log.warning("list of hosts not read", { { "status", ended.status }, { "why", reason.detail.empty() ? ended.detail : reason.detail } });
+    m_list = {};
+    readPage({});
+}
+
+void HostRegistry::readPage(std::string_view after)
+{
+    m_calls.start("hosts", m_adapter.listDocuments(StoreCollection::Hosts, after), [this](const TransferEnded& ended) { onPage(ended); });
+}
+
+void HostRegistry::onPage(const TransferEnded& ended)
+{
+    LastReason reason;
+    auto page = m_adapter.storeAnswer(ended, false) == StoreAnswer::Done ? m_adapter.decodePage(ended, reason) : std::nullopt;
+    if (!page) {
+        m_log.warning("list of hosts not read", { { "status", ended.status }, { "why", reason.detail.empty() ? ended.detail : reason.detail } });
+        if (m_list.asOf) {
+            useList(false);
+        } else {
             later(pauseAfterFailure, &HostRegistry::list);
-            return;
-        }
-        for (const auto& document : page->documents) {
-            m_peers.addPeer(document.name, textField(document.content, "address"), static_cast<uint16_t>(countField(document.content, "port", 0)));
         }
-        later(std::max<milliseconds>(shortestListInterval, listIntervalPerHost * page->documents.size()), &HostRegistry::list);
-    });
+        return;
+    }
+    const auto progress = addPage(m_list, std::move(*page));
+    if (progress == ListProgress::NextPage) {
+        readPage(m_list.documents.back().name);
+    } else {
+        useList(progress == ListProgress::Complete);
+    }
+}
+
+void HostRegistry::useList(bool complete)
+{
+    if (m_complete != complete) {
+        m_complete = complete;
+        m_log.warning(complete ? "list complete" : "list incomplete", { { "feed", "hosts" } });
+        m_metrics.setListIncomplete("hosts", !complete);
+    }
+    for (const auto& document : m_list.documents) {
+        m_peers.addPeer(document.name, textField(document.content, "address"), static_cast<uint16_t>(countField(document.content, "port", 0)));
+    }
+    const auto pause = std::max<milliseconds>(shortestListInterval, listIntervalPerHost * m_list.documents.size());
+    m_list = {};
+    later(pause, &HostRegistry::list);
 }
 
 void HostRegistry::later(milliseconds delay, void (HostRegistry::*action)())
