Do not move a run whose id no order can name

Callers: one request with a byte that is no UTF-8 in X-Attempt-Id, on a stream whose replica leaves, ended the process, and with it the requests of all others on that host.

Cause: the order to move a run holds the id in JSON. nlohmann::json throws for bytes that are no UTF-8, and nothing on the loop catches.

Before: type_error.316 "invalid UTF-8 byte" out of the loop.

Change: the adapter says whether an id can be named (visible ASCII); others are passed on and logged as before, and their runs stay where they are.

--- a/packages/forwarding/include/siskinspread/PlatformAdapter.h
+++ b/packages/forwarding/include/siskinspread/PlatformAdapter.h
@@ -24,6 +24,7 @@
 /** What a caller says of its request, beside the bytes that are passed on. */
 struct CallerRequest {
     std::string attemptId;
+    bool isNameable { true }; /**< The id can stand in MemoryMove; ids are any bytes that a header can hold. */
     std::optional<std::chrono::milliseconds> timeLeft; /**< That the caller waits, from when it sent the request. */
     std::optional<std::string> apiKey;
     std::optional<uint32_t> outputTokens; /**< At most; with the prompt, the request's size. Empty: no model request. */
@@ -180,7 +181,7 @@
     virtual void encodeStateQuestion(const ReplicaEntry&, std::string& out) const = 0;
     /** @param reason BackendError. */
     virtual std::optional<ReplicaState> decodeState(int status, std::string_view body, LastReason& reason) const = 0;
-    /** Appends a whole request to the source. */
+    /** Appends a whole request to the source. Precondition: the request is nameable. */
     virtual void encodeMemoryMove(const MemoryMove&, std::string& out) const = 0;
     /** @return nothing when the run was not stopped, or is none. @param reason BackendRejected, or BackendError when the answer cannot be read. */
     virtual std::optional<MemoryMoveAnswer> decodeMemoryMove(const MemoryMove&, int status, std::string_view body, LastReason& reason) const = 0;
--- a/packages/forwarding/src/ExchangeMove.cpp
+++ b/packages/forwarding/src/ExchangeMove.cpp
@@ -20,7 +20,7 @@
 
 bool Exchange::isMovable() const
 {
-    return m_request.route->streaming && m_request.service->engine && m_request.service->engine->movesMemory;
+    return m_request.route->streaming && m_request.caller.isNameable && m_request.service->engine && m_request.service->engine->movesMemory;
 }
 
 /** @return whether the replica ends soon. Asks it when that is not known. */
