Take an answer that ends inside its head for broken

Callers of the product's own interface: a 200 with an empty body where the backend server had closed inside the head of its answer. The readers of the store and the cloud took such an answer for a whole one, too.

Cause: to libcurl 7.88 the end of the connection is also the end of a head: it reports success, with the status and the headers so far.

Evidence: CutHeadThreadTest.cpp, an answer cut behind each byte, with and without an interim answer before it. Before: 2 of 3 cases failed, 110 of 192 checks.

Change: a transfer is complete only once the empty line behind its head has come.

The users' platform: requests do not go through libcurl there. CutHeadTest.cpp cuts at each byte, for plain requests, HEAD and streams: 502, or another replica's answer. It passed without a change and stays.

After: all cases of transport_thread_tests and of CutHeadTest.cpp pass.

--- a/packages/transport/src/CurlTransfer.cpp
+++ b/packages/transport/src/CurlTransfer.cpp
@@ -89,8 +89,10 @@
     const std::string_view line = trim({ data, size * count });
     if (line.starts_with("HTTP/")) {
         transfer.m_headers.clear(); // an interim response came before
+        transfer.m_headComplete = false;
         return size * count;
     }
+    transfer.m_headComplete = transfer.m_headComplete || line.empty();
     const size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
         transfer.m_headers.push_back({ .name = std::string { line.substr(0, colon) }, .value = std::string { trim(line.substr(colon + 1)) } });
@@ -148,6 +150,12 @@
         ended.detail = m_bodyTooLarge || m_headersTooLarge ? "the answer exceeds the limit" : curl_easy_strerror(result);
         return ended;
     }
+    // To libcurl the end of the connection is also the end of a head.
+    if (!m_headComplete) {
+        ended.end = TransferEnd::Broken;
+        ended.detail = "the answer ended inside its head";
+        return ended;
+    }
     emitHeadersOnce();
     ended.headers = std::move(m_headers);
     ended.body = std::move(m_body);
--- a/packages/transport/src/CurlTransfer.h
+++ b/packages/transport/src/CurlTransfer.h
@@ -51,6 +51,7 @@
     HttpHeaders m_headers;
     std::string m_body;
     bool m_headersEmitted { false };
+    bool m_headComplete { false }; /**< The empty line behind the newest head has come. */
     bool m_paused { false };
     size_t m_headerBytes { 0 }; /**< Of all heads, interim ones included, and of trailers. */
     bool m_headersTooLarge { false };
