Answer what is open at the end of a planned stop, and send nothing late

Callers: in a planned stop, requests that a replica had not answered by the end of the grace were cut without an answer. Requests that had waited for a place were sent to a replica late in the grace and cut with them.

Cause: the host refused new requests from 0.375 of the grace on, but went on to send those that waited, and ended its loop with requests open.

Evidence: StopThreadTest.cpp, a whole host with a grace of 1.6 s. Before: 2 of 4 cases failed (no 504; 4 waiting requests of 8 sent at 0.72 of the grace and cut). The cases for requests that come late in the grace, and for answers that come in it, passed and stay.

Change: from 0.65 of the grace on nothing is sent; waiting requests get a 503, which is true for them, with the time at which another host takes them. 0.45 s before the end, requests at replicas get a 504, which promises nothing, and streams are broken off; the process ends 0.1 s later, as before.

After: 4 of 4 cases pass.

--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -74,6 +74,9 @@
     /** Moves a stream that cannot be resumed away from a replica that is about to end. To be called every 50 ms or so. */
     void reviewMove(MonotonicTime now);
 
+    /** Gives the final answer as the host stops; one that has begun is broken off. Idempotent. */
+    void endForStop();
+
     /** Lets go of the connections, which refer back to the exchange, at the end of the process. */
     void abandon();
 
--- a/packages/forwarding/include/siskinspread/Forwarder.h
+++ b/packages/forwarding/include/siskinspread/Forwarder.h
@@ -26,6 +26,9 @@
 
 namespace siskinspread {
 
+/** After which callers of a host that stops come back: another host can take the request at once. */
+constexpr std::chrono::milliseconds drainingDelay { 50 };
+
 /** What this host asks of the replicas of one service. */
 struct ServiceDemand {
     double promptTokensPerSecond { 0 }; /**< To be computed, smoothed. */
@@ -68,6 +71,15 @@
     /** From here on requests are refused: what is in progress has the rest of the grace. Idempotent. */
     void beginDraining() { m_draining = true; }
 
+    /**
+     * From here on nothing is sent to a replica: another host has more time for it. Requests that have not run are refused as they
+     * come to wait, streams that would go on at another replica are broken off. Idempotent.
+     */
+    void endSending() { m_sendingEnded = true; }
+
+    /** Gives all open requests their final answer. */
+    void endOpen();
+
     /** A whole request of a caller. */
     void accept(ReceivedRequest&&);
 
@@ -201,6 +213,7 @@
     bool m_dispatchPosted { false };
     bool m_refusesStreams { false };
     bool m_draining { false };
+    bool m_sendingEnded { false };
 };
 
 } // namespace siskinspread
--- a/packages/forwarding/src/ExchangeEnd.cpp
+++ b/packages/forwarding/src/ExchangeEnd.cpp
@@ -59,6 +59,26 @@
     fail(504, ResultCode::DeadlineExpired, "no answer before the deadline; the request may have run");
 }
 
+void Exchange::endForStop()
+{
+    if (isDone()) {
+        return;
+    }
+    if (m_phase == Phase::Waiting) {
+        refuse(ResultCode::Draining, drainingDelay, "the host stops");
+        return;
+    }
+    if (m_run == RunState::NotRun) {
+        m_run = RunState::MayHaveRun;
+    }
+    releaseAttempt(false);
+    if (m_phase == Phase::Answering) {
+        breakStream("the host stops");
+        return;
+    }
+    fail(504, ResultCode::Draining, "the host stops and the replica has not answered; the request may have run");
+}
+
 void Exchange::refuse(ResultCode code, milliseconds retryAfter, std::string_view why)
 {
     if (m_run != RunState::NotRun) {
--- a/packages/forwarding/src/Forwarder.cpp
+++ b/packages/forwarding/src/Forwarder.cpp
@@ -15,7 +15,6 @@
     constexpr milliseconds longestRequest { 60000 };
     // Callers who find no configuration come back when the store has usually been read.
     constexpr milliseconds noConfigurationDelay { 500 };
-    constexpr milliseconds drainingDelay { 50 }; // another host can take the request at once
     constexpr milliseconds quotaRefreshInterval { 500 }; // well below the 3 s in which the smallest bursts refill
     constexpr double demandMemorySeconds = 3.0; // time constant of the smoothed demand: below a replica's start
 
@@ -62,6 +61,14 @@
     }
 }
 
+void Forwarder::endOpen()
+{
+    const auto open = m_open; // each leaves the set as it ends
+    for (const auto& exchange : open) {
+        exchange->endForStop();
+    }
+}
+
 void Forwarder::setTable(std::shared_ptr<const RoutingTable> table)
 {
     m_table = std::move(table);
--- a/packages/forwarding/src/ForwardingHost.cpp
+++ b/packages/forwarding/src/ForwardingHost.cpp
@@ -29,7 +29,10 @@
     constexpr double outOfRotation = 0.375;
     // A stream that begins later may outlast the grace: its queue and its tokens take up to 6 s of 8.
     constexpr double lastStream = 0.25;
+    // What is sent later has little time left, and another host has more.
+    constexpr double lastSend = 0.65;
     constexpr milliseconds stopMargin { 350 };
+    constexpr milliseconds answerMargin { stopMargin + milliseconds { 100 } }; // the last answers are written after it
     // Of the bound for keys: more than the age that the proof has between two answers, and early enough for the balancer, which
     // takes 2 s, to move callers before keys have to be refused.
     constexpr double cutOffPart = 0.52;
@@ -170,6 +173,12 @@
             return false;
         }
         m_forwarder.beginDraining();
+        if (now - m_stopAt >= m_settings.bounds.stopGrace * lastSend) {
+            m_forwarder.endSending();
+        }
+        if (now - m_stopAt > m_settings.bounds.stopGrace - answerMargin) {
+            m_forwarder.endOpen();
+        }
         m_callers.closeIdle();
         const bool late = now - m_stopAt > m_settings.bounds.stopGrace - stopMargin;
         if (m_callers.hasOpen() && !late) {
--- a/packages/forwarding/src/Placing.cpp
+++ b/packages/forwarding/src/Placing.cpp
@@ -168,6 +168,10 @@
     if (endSuspected(exchange)) {
         return true;
     }
+    if (m_sendingEnded) {
+        exchange->endForStop();
+        return true;
+    }
     const auto now = std::chrono::steady_clock::now();
     const auto replicas = candidatesFor(*exchange, now);
     const auto& request = exchange->request();
