Tell hosts of changes whose names no message can hold

Callers of hosts that follow their neighbours: an entry with a name of tens of KB in the store, and these hosts stayed with the replicas and the configuration from before it.

Cause: a batch too large for a message goes without its contents, but with its names. Where the names alone are too many bytes, it was never sent, nor what came behind it, while the age of what the watchers know was told and passed for all there is.

Evidence: "a batch that no message can hold tells that something has changed". Before: a message of 100,048 bytes, against 24 KB at most.

Change: such a batch tells that something has changed, by one change without a name, as for one that cannot be read; the follower asks the store.

After: all 6 cases of StoreNewsTest.cpp pass.

--- a/packages/forwarding/src/StoreNews.cpp
+++ b/packages/forwarding/src/StoreNews.cpp
@@ -17,7 +17,7 @@
     constexpr size_t fewestHosts = 5; // of a failure domain in which others are followed; fewer watch for themselves
     constexpr size_t smallBatchBytes = 512; // compression gains little below
     constexpr int compressionLevel = 1; // the fastest: entries of replicas are alike
-    constexpr size_t maxBatchBytes = 24U << 10U; // compressed; half of a datagram, which holds other batches as well
+    constexpr size_t maxBatchBytes = 24U << 10U; // as it is sent; half of a datagram, which holds other batches as well
     constexpr size_t maxNewsBytes = 48U << 10U; // of one message; what is left out follows once the receiver knows the rest
     constexpr size_t maxDecompressedBytes = 1U << 20U; // far above what 24 KB of entries expand to; a bound for bytes that are no news
 
@@ -97,6 +97,11 @@
             *message.add_changes() = encodeChange(change, false);
         }
     }
+    if (message.ByteSizeLong() > maxBatchBytes) {
+        // Names are as long as their writers like. A change without name and content makes the reader ask the store.
+        message.clear_changes();
+        message.add_changes();
+    }
     return message;
 }
 
--- a/packages/forwarding/tests/StoreNewsTest.cpp
+++ b/packages/forwarding/tests/StoreNewsTest.cpp
@@ -106,3 +106,24 @@
     REQUIRE(batch.changes.size() == 1);
     CHECK_FALSE(batch.changes.front().withContent);
 }
+
+// Guards against hosts that are told again and again that their watchers are current, but never what changed: a batch that is larger
+// than a message is never sent, nor anything behind it.
+TEST_CASE("a batch that no message can hold tells that something has changed")
+{
+    std::string name;
+    for (uint64_t word = 1; name.size() < 100'000; word = word * 6364136223846793005ULL + 1442695040888963407ULL) {
+        name += std::to_string(word);
+    }
+    auto batch = reclaim(2);
+    batch.changes.push_back({ .change = { .document = { .name = name, .revision = 103, .content = 1 } } });
+    const auto message = encodeBatch(batch);
+    CHECK(message.ByteSizeLong() < 1024);
+    LastReason reason;
+    const auto read = decodeBatch(message, reason);
+    REQUIRE(read);
+    CHECK(read->from == batch.from);
+    CHECK(read->asOf == batch.asOf);
+    REQUIRE(read->changes.size() == 1);
+    CHECK_FALSE(read->changes[0].withContent);
+}
