Percent-encode names in the calls of the product's own interface

Callers: a host of the cloud's list whose name holds "&", "#", "?", "%" or a blank could not be asked for, so its end was never confirmed.

Cause: as on the users' platform, names went into paths and queries as they were.

Change: percentEncoded for hosts, objects (whose slashes stay) and lists; siskinctl's own function for it goes.

--- a/packages/ctl/src/NetworkOperatorApi.cpp
+++ b/packages/ctl/src/NetworkOperatorApi.cpp
@@ -4,11 +4,10 @@
 #include "Publisher.h"
 #include "siskinspread/Drainer.h"
 #include "siskinspread/RecordCodec.h"
+#include "siskinspread/UrlText.h"
 
-#include <curl/curl.h>
 #include <nlohmann/json.hpp>
 
-#include <memory>
 #include <thread>
 
 namespace siskinspread {
@@ -19,12 +18,6 @@
     constexpr int statusNotFound = 404;
     constexpr std::chrono::milliseconds statusInterval { 500 };
 
-    std::string escape(const std::string& text)
-    {
-        const std::unique_ptr<char, decltype(&curl_free)> escaped { curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size())), &curl_free };
-        return escaped.get();
-    }
-
     /** Asks the entry hosts in turn. @return the first answer, or nothing with BackendConnectFailed. */
     std::optional<TransferEnded> askEntryHosts(const std::vector<std::string>& entryHosts, const std::string& path, std::chrono::milliseconds timeout, const HttpHeaders& headers, LastReason& reason)
     {
@@ -112,9 +105,9 @@
     std::string accountPath(const AccountArguments& arguments)
     {
         if (arguments.key) {
-            return "/operator/accounts?customer=" + escape(arguments.customer) + "&key=" + escape(*arguments.key);
+            return "/operator/accounts?customer=" + percentEncoded(arguments.customer) + "&key=" + percentEncoded(*arguments.key);
         }
-        return "/operator/accounts/" + escape(formatRequestId(*arguments.requestId));
+        return "/operator/accounts/" + percentEncoded(formatRequestId(*arguments.requestId));
     }
 
 } // namespace
--- a/packages/platform/src/CloudHost.cpp
+++ b/packages/platform/src/CloudHost.cpp
@@ -1,5 +1,7 @@
 #include "siskinspread/CloudHost.h"
 
+#include "siskinspread/UrlText.h"
+
 #include <nlohmann/json.hpp>
 
 namespace siskinspread {
@@ -15,7 +17,7 @@
 StartTransfer readCloudHost(const CloudApiOptions& options, const std::string& host)
 {
     StartTransfer transfer;
-    transfer.url = options.url + "/hosts/" + host;
+    transfer.url = options.url + "/hosts/" + percentEncoded(host);
     transfer.connectTimeout = options.timeout;
     transfer.totalTimeout = options.timeout;
     return transfer;
--- a/packages/platform/src/ObjectApi.cpp
+++ b/packages/platform/src/ObjectApi.cpp
@@ -1,7 +1,10 @@
 #include "siskinspread/ObjectApi.h"
 
+#include "siskinspread/UrlText.h"
+
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace siskinspread {
@@ -22,9 +25,21 @@
         return transfer;
     }
 
+    /** The slashes of a name are those of the path. */
+    std::string pathOf(std::string_view name)
+    {
+        std::string path = "/objects";
+        for (size_t begin = 0; begin <= name.size();) {
+            const size_t end = std::min(name.size(), name.find('/', begin));
+            path.append("/").append(percentEncoded(name.substr(begin, end - begin)));
+            begin = end + 1;
+        }
+        return path;
+    }
+
     StartTransfer write(const ObjectApiOptions& options, std::string_view name, std::string value, HttpHeader condition)
     {
-        StartTransfer transfer = call(options, "/objects/" + std::string { name });
+        StartTransfer transfer = call(options, pathOf(name));
         transfer.method = "PUT";
         transfer.headers.push_back(std::move(condition));
         transfer.body = std::move(value);
@@ -35,7 +50,7 @@
 
 StartTransfer readObject(const ObjectApiOptions& options, std::string_view name)
 {
-    return call(options, "/objects/" + std::string { name });
+    return call(options, pathOf(name));
 }
 
 StartTransfer createObject(const ObjectApiOptions& options, std::string_view name, std::string value)
@@ -50,14 +65,14 @@
 
 StartTransfer watchObject(const ObjectApiOptions& options, std::string_view name, uint64_t after)
 {
-    StartTransfer transfer = call(options, "/objects/" + std::string { name } + "?watch_after=" + std::to_string(after) + "&timeout_ms=" + std::to_string(options.watchTimeout.count()));
+    StartTransfer transfer = call(options, pathOf(name) + "?watch_after=" + std::to_string(after) + "&timeout_ms=" + std::to_string(options.watchTimeout.count()));
     transfer.totalTimeout = options.watchTimeout + options.timeout;
     return transfer;
 }
 
 StartTransfer listObjects(const ObjectApiOptions& options, std::string_view prefix, std::string_view after)
 {
-    return call(options, "/list?prefix=" + std::string { prefix } + "&after=" + std::string { after });
+    return call(options, "/list?prefix=" + percentEncoded(prefix) + "&after=" + percentEncoded(after));
 }
 
 StoreResult storeResult(const TransferEnded& ended, bool write)
