Soak: entries of other writers, short pages and refused ones

Each seed now has odd entries in the list of replicas, of two entries a page, from before the processes start; others come and go, and the store refuses further pages for a while. Draws of its own keep the other faults of a seed as they were.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -29,6 +29,10 @@
     constexpr uint64_t crashingOneOf = 25; // streams whose prompts have the part that crashes replicas
     constexpr uint64_t longestDownTime = 500; // milliseconds
     constexpr int callersOfMovingPerHost = 2;
+    constexpr size_t pageItems = 2; // replicas and entries of other writers share the pages
+    constexpr uint64_t longestOddEntry = 1500; // milliseconds until the next change
+    constexpr int refusedPageStatus = 400;
+    const std::string oddNames[] { "a&b", "a+b", "h#1", "i-1%", "i 2", "i-3&after=", "z", "z\"\n" };
     constexpr LinkFault linkFaults[] { LinkFault::Delay, LinkFault::LoseAnswers, LinkFault::Silence };
 
     json routeOf(const char* name, const char* kind, int attempts, const SoakBounds& bounds, const char* service = "plain")
@@ -46,6 +50,7 @@
     , m_limitRandom(m_options.seed)
     , m_crashRandom(m_options.seed)
     , m_movingRandom(m_options.seed)
+    , m_entryRandom(m_options.seed)
     , m_startedAt(std::chrono::steady_clock::now())
 {
     if (m_options.rollout) {
@@ -222,6 +227,33 @@
     later(milliseconds { shortestLimit + m_limitRandom() % (longestLimit - shortestLimit) }, [this, &behind] { changeLimit(behind); });
 }
 
+/** Has draws of its own, as changeLimit. */
+void Soak::changeOddEntries()
+{
+    if (m_isCalm) {
+        return;
+    }
+    const auto& name = oddNames[m_entryRandom() % std::size(oddNames)];
+    switch (m_entryRandom() % 4) {
+    case 0:
+        m_platform.nextPageStatus = m_platform.nextPageStatus ? std::nullopt : std::optional { refusedPageStatus };
+        tell(m_platform.nextPageStatus ? "further pages refused" : "further pages again");
+        break;
+    case 1:
+        if (m_platform.find("servers", name)) {
+            tell("odd entry removed: " + json(name).dump());
+            m_platform.remove("servers", name);
+            break;
+        }
+        [[fallthrough]];
+    default:
+        tell("odd entry: " + json(name).dump());
+        m_platform.put("servers", name, { { "state", "serving" }, { "address", name }, { "slots", "many" } });
+        break;
+    }
+    later(milliseconds { m_entryRandom() % longestOddEntry }, [this] { changeOddEntries(); });
+}
+
 void Soak::crash(Behind& behind)
 {
     tell("crash of " + behind.replica->instance() + " under a prompt");
@@ -390,6 +422,7 @@
     m_platform.busy = false;
     m_platform.silent = false;
     m_platform.loseNextWrite = false;
+    m_platform.nextPageStatus.reset();
 }
 
 void Soak::checkRecovery()
@@ -445,6 +478,10 @@
 
 std::vector<std::string> Soak::run()
 {
+    m_platform.pageItems = pageItems;
+    for (const auto& name : oddNames) {
+        m_platform.put("servers", name, "of another writer");
+    }
     writeConfiguration();
     for (auto& behind : m_replicas) {
         announce(behind, false);
@@ -465,6 +502,7 @@
     for (size_t number = 0; number + 1 < m_replicas.size(); ++number) { // the last one stays for the callers
         changeLimit(m_replicas[number]);
     }
+    changeOddEntries();
     if (m_rollout) {
         m_rollout->begin();
     }
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -62,6 +62,8 @@
     void faultOnHost(Side&);
     void faultOnReplica(Behind&);
     void changeLimit(Behind&);
+    /** Another writer adds and removes entries, and the store refuses further pages of lists for a while. */
+    void changeOddEntries();
     /** The replica ends under a part of a prompt and starts again. */
     void crash(Behind&);
     void faultOnStore();
@@ -93,6 +95,7 @@
     std::mt19937_64 m_limitRandom;
     std::mt19937_64 m_crashRandom;
     std::mt19937_64 m_movingRandom;
+    std::mt19937_64 m_entryRandom;
     std::unique_ptr<SoakRollout> m_rollout;
     bool m_isCalm { false };
     std::vector<std::string> m_story;
