Cut texts in the log that are too long

Operators: an entry with a name of a megabyte made a line of a megabyte for each of its changes; the log's ring does not take it, and the other lines of that moment go with it.

Evidence: "a text that is too long is cut, and its length is told".

Change: of a field of more than 4,096 bytes the first are written, and its length.

--- a/packages/observability/src/Log.cpp
+++ b/packages/observability/src/Log.cpp
@@ -20,6 +20,8 @@
 
     using Json = nlohmann::ordered_json;
 
+    constexpr size_t maxTextBytes = 4096; // of one field: names and headers may be of any length
+
     /** @return the time in UTC with milliseconds, in the form of RFC 3339. */
     std::string formatTime(WallTime time)
     {
@@ -30,6 +32,10 @@
 
     Json asJson(const LogValue& value)
     {
+        const auto* text = std::get_if<std::string>(&value.variant());
+        if (text != nullptr && text->size() > maxTextBytes) {
+            return fmt::format("{} [{} bytes]", std::string_view { *text }.substr(0, maxTextBytes), text->size());
+        }
         return std::visit([](const auto& content) { return Json(content); }, value.variant());
     }
 
--- a/packages/observability/tests/LogThreadTest.cpp
+++ b/packages/observability/tests/LogThreadTest.cpp
@@ -67,6 +67,19 @@
     CHECK(object["message"].get<std::string>().ends_with(" %v %s"));
 }
 
+// Guards against one text of others, a name of a megabyte, that fills the ring and pushes out the lines of a whole process.
+TEST_CASE("a text that is too long is cut, and its length is told")
+{
+    CapturedLog captured;
+    const std::string name(1U << 20U, 'n');
+    captured.log.write({ .message = "replica entry passed over", .fields = { { "replica", name }, { "why", std::string(4096, 'w') }, { "accents", std::string(3000, '\xc3') } } });
+    REQUIRE(captured.lines.size() == 1);
+    CHECK(captured.lines[0].size() < 24'000);
+    const auto object = nlohmann::json::parse(captured.lines[0]);
+    CHECK(object["replica"] == std::string(4096, 'n') + " [1048576 bytes]");
+    CHECK(object["why"] == std::string(4096, 'w'));
+}
+
 TEST_CASE("entries below the minimum level are left out")
 {
     CapturedLog captured { LogLevel::Warning };
