Take no host from an entry that no datagram can be sent to

Callers: an entry of another writer in the list of hosts made this host send its datagrams to a port that the entry does not name, or try to, several times a second, with a line in the log each time.

Cause: the port was cut to 16 bits, and addresses of IPv6 were taken for a socket of IPv4.

Evidence: "an entry in the list of hosts with a port out of range names no host". Before: the socket at the cut port was told.

Change: such an entry names no host; the log tells why.

After: nothing arrives there, and the sound entry is told.

--- a/packages/forwarding/include/siskinspread/PeerExchange.h
+++ b/packages/forwarding/include/siskinspread/PeerExchange.h
@@ -57,8 +57,8 @@
     /** Binds the port. @param reason InvalidSettings when it cannot be bound. */
     bool start(LastReason& reason);
 
-    /** A host that the store lists. */
-    void addPeer(const std::string& host, const std::string& address, uint16_t port);
+    /** A host that the store lists. One whose address or port is none that datagrams can be sent to is left out. */
+    void addPeer(const std::string& host, const std::string& address, uint64_t port);
 
     /** Sends what is due; to be called every 50 ms or so. */
     void tick(MonotonicTime now);
--- a/packages/forwarding/src/HostRegistry.cpp
+++ b/packages/forwarding/src/HostRegistry.cpp
@@ -111,7 +111,7 @@
         m_metrics.setListIncomplete("hosts", !complete);
     }
     for (const auto& document : m_list.documents) {
-        m_peers.addPeer(document.name, textField(document.content, "address"), static_cast<uint16_t>(countField(document.content, "port", 0)));
+        m_peers.addPeer(document.name, textField(document.content, "address"), countField(document.content, "port", 0));
     }
     const auto pause = std::max<milliseconds>(shortestListInterval, listIntervalPerHost * m_list.documents.size());
     m_list = {};
--- a/packages/forwarding/src/PeerExchange.cpp
+++ b/packages/forwarding/src/PeerExchange.cpp
@@ -1,6 +1,7 @@
 #include "siskinspread/PeerExchange.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace siskinspread {
 
@@ -53,19 +54,19 @@
     return true;
 }
 
-void PeerExchange::addPeer(const std::string& host, const std::string& address, uint16_t port)
+void PeerExchange::addPeer(const std::string& host, const std::string& address, uint64_t port)
 {
     if (host == m_settings.host) {
         return;
     }
     asio::error_code error;
-    const auto ip = asio::ip::make_address(address, error);
-    if (error) {
-        m_log.warning("peer left out", { { "peer", host }, { "address", address }, { "why", "no IP address" } });
+    const auto ip = asio::ip::make_address_v4(address, error); // as the socket is
+    if (error || port == 0 || port > std::numeric_limits<uint16_t>::max()) {
+        m_log.warning("peer left out", { { "peer", host }, { "address", address }, { "port", port }, { "why", "no address that datagrams can be sent to" } });
         return;
     }
     auto& peer = m_peers[host];
-    peer.endpoint = { ip, port };
+    peer.endpoint = { ip, static_cast<uint16_t>(port) };
     if (!peer.listedAt) {
         peer.listedAt = std::chrono::steady_clock::now();
     }
