Complete the list of hosts soon

Callers: with the list of hosts incomplete at their start, hosts did not know of each other for 15 s and more, and replicas got more requests than the limits that they had named.

Cause: an incomplete list of hosts waited as long as a whole one before it was read again.

"a host finds the others on all pages of their list, past odd entries" has the case as a part of its own.

Change: it is read again after 0.5 s, then twice as long, up to the time of a whole list.

--- a/packages/forwarding/include/siskinspread/HostRegistry.h
+++ b/packages/forwarding/include/siskinspread/HostRegistry.h
@@ -32,6 +32,7 @@
     HostLog& m_log;
     ForwardingMetrics& m_metrics;
     asio::steady_timer m_timer;
+    std::chrono::milliseconds m_pauseIfIncomplete; /**< Doubled with each incomplete list. */
     nlohmann::json m_content;
     DocumentList m_list; /**< That is being read. */
     bool m_complete { true }; /**< The newest list was read to its end. */
--- a/packages/forwarding/src/HostRegistry.cpp
+++ b/packages/forwarding/src/HostRegistry.cpp
@@ -25,6 +25,7 @@
     , m_log(log)
     , m_metrics(metrics)
     , m_timer(context)
+    , m_pauseIfIncomplete(pauseAfterFailure)
     , m_content { { "address", settings.callers.address }, { "port", settings.peerPort }, { "incarnation", incarnation } }
 {
 }
@@ -115,7 +116,8 @@
     }
     const auto pause = std::max<milliseconds>(shortestListInterval, listIntervalPerHost * m_list.documents.size());
     m_list = {};
-    later(pause, &HostRegistry::list);
+    m_pauseIfIncomplete = complete ? pauseAfterFailure : std::min(m_pauseIfIncomplete * 2, pause);
+    later(complete ? pause : m_pauseIfIncomplete, &HostRegistry::list);
 }
 
 void HostRegistry::later(milliseconds delay, void (HostRegistry::*action)())
