Read the orders for versions where replicas may be missing in a list

Callers: a request went to a version whose order had been replaced before it was complete.

Cause: a host reads orders from when it sees replicas of two versions. On one that starts with an incomplete list these may be behind the page that it could not have.

Change: an incomplete list counts as one with several versions.

--- a/packages/forwarding/include/siskinspread/RolloutWatch.h
+++ b/packages/forwarding/include/siskinspread/RolloutWatch.h
@@ -49,12 +49,14 @@
     RolloutWatch(const ForwardingSettings&, HostLog&, ForwardingMetrics&);
 
     // From the store.
-    /** @return whether orders have to be read: a service has replicas of several versions. Stays true from then on. */
+    /** @return whether orders have to be read: a service has, or may have, replicas of several versions. Stays true from then on. */
     bool needsOrders() const { return m_needsOrders; }
     void applyOrder(const std::string& document, uint64_t revision, const RolloutDocument&);
     void removeOrder(const std::string& document);
     /** All orders that the store holds are known. */
     void noteListed() { m_listed = true; }
+    /** Whether there may be replicas, and so versions, that the store has not shown. */
+    void setMayLackReplicas(bool mayLack) { m_mayLackReplicas = mayLack; }
     /** Replicas have come, or started again as others. Looks at all of them, so it is called on changes only. */
     void noteReplicas(const ReplicaDirectory&);
     /** Judges the versions on trial. To be called every 50 ms or so. */
@@ -112,6 +114,7 @@
     std::unordered_map<uint64_t, MonotonicTime> m_brokenOffAt; /**< By replica. */
     bool m_needsOrders { false };
     bool m_listed { false };
+    bool m_mayLackReplicas { false };
     bool m_hearsPeers { true };
 };
 
--- a/packages/forwarding/src/RolloutWatch.cpp
+++ b/packages/forwarding/src/RolloutWatch.cpp
@@ -108,7 +108,7 @@
         return;
     }
     for (const auto& [service, counts] : versions) {
-        if (counts.size() == 1) {
+        if (counts.size() == 1 && !m_mayLackReplicas) {
             m_soleVersions[service] = counts.begin()->first;
             continue;
         }
--- a/packages/forwarding/src/StoreReader.cpp
+++ b/packages/forwarding/src/StoreReader.cpp
@@ -111,7 +111,9 @@
         .onCurrent = [](BootTime) {},
         .onReachable = [this](bool reachable, std::string_view why) { logReachable("replicas", reachable, why); },
         .onSource = [this](bool follows, std::string_view why) { logSource("replicas", follows, why); },
-        .onComplete = [this](bool complete, std::string_view why) { noteComplete("replicas", complete, why); },
+        .onComplete = [this](bool complete, std::string_view why) {
+            m_forwarder.rollouts().setMayLackReplicas(!complete);
+            noteComplete("replicas", complete, why); },
     };
 }
 
