Read the orders as soon as the list of replicas becomes incomplete

Callers: requests went to a version whose order had been replaced before it was complete.

Cause: whether orders have to be read was looked at only when a replica came or started again. A list that becomes incomplete and shows no new replica changed nothing: orders were not read until the next one did.

The logs: after the store had forgotten its history all four hosts had an incomplete list without a new replica, read no orders for 3 s, and never saw the replaced one. "orders are read where the list of replicas is incomplete", subcase "later", fails with the call of noteReplicas taken out.

Change: the watch looks at the replicas again when a list becomes incomplete.

--- a/packages/forwarding/include/siskinspread/RolloutWatch.h
+++ b/packages/forwarding/include/siskinspread/RolloutWatch.h
@@ -56,7 +56,7 @@
     /** All orders that the store holds are known. */
     void noteListed() { m_listed = true; }
     /** Whether there may be replicas, and so versions, that the store has not shown. */
-    void setMayLackReplicas(bool mayLack) { m_mayLackReplicas = mayLack; }
+    void setMayLackReplicas(bool mayLack, const ReplicaDirectory& known);
     /** Replicas have come, or started again as others. Looks at all of them, so it is called on changes only. */
     void noteReplicas(const ReplicaDirectory&);
     /** Judges the versions on trial. To be called every 50 ms or so. */
--- a/packages/forwarding/src/RolloutWatch.cpp
+++ b/packages/forwarding/src/RolloutWatch.cpp
@@ -119,6 +119,12 @@
     }
 }
 
+void RolloutWatch::setMayLackReplicas(bool mayLack, const ReplicaDirectory& known)
+{
+    m_mayLackReplicas = mayLack;
+    noteReplicas(known);
+}
+
 bool RolloutWatch::isNewVersion(const Replica& replica, MonotonicTime now) const
 {
     const auto service = m_versions.find(replica.entry.service);
--- a/packages/forwarding/src/StoreReader.cpp
+++ b/packages/forwarding/src/StoreReader.cpp
@@ -112,7 +112,7 @@
         .onReachable = [this](bool reachable, std::string_view why) { logReachable("replicas", reachable, why); },
         .onSource = [this](bool follows, std::string_view why) { logSource("replicas", follows, why); },
         .onComplete = [this](bool complete, std::string_view why) {
-            m_forwarder.rollouts().setMayLackReplicas(!complete);
+            m_forwarder.rollouts().setMayLackReplicas(!complete, m_forwarder.replicas());
             noteComplete("replicas", complete, why); },
     };
 }
