Keep what others tell of a replaced order until this host has read it

Callers: requests went to a version whose order had been replaced before it was complete.

Cause: hosts tell each other which versions earlier orders did not prove, but one that had yet to read the order dropped it. Where those that knew had ended by the time it did, nobody knew.

The logs: host-3 read the new order and ended 0.37 s later, host-4 50 ms after it read it; host-1 heard host-3 all that time and read the order 1.1 s after its end. "a host learns from others which versions earlier orders did not prove", subcase "of one that it reads later", fails without the change.

Change: what is told of orders that this host has not read is kept, by service, until it reads an order of the service.

--- a/packages/forwarding/include/siskinspread/RolloutWatch.h
+++ b/packages/forwarding/include/siskinspread/RolloutWatch.h
@@ -99,6 +99,7 @@
     std::optional<std::vector<std::shared_ptr<Replica>>> withoutNewVersions(const std::vector<std::shared_ptr<Replica>>&) const;
     double shareOf(const RolloutRecord&) const;
     void judge(RolloutRecord&);
+    void keepAhead(const schema::RolloutMessage&);
     void takeOver(RolloutRecord&, const schema::RolloutMessage&, const std::string& host);
 
     const ForwardingSettings& m_settings;
@@ -106,6 +107,8 @@
     ForwardingMetrics& m_metrics;
     RolloutOptions m_options;
     std::map<std::string, RolloutRecord> m_orders; /**< By service. */
+    /** By service and key: notProven of orders, as others have told it since this host last read one of the service. */
+    std::unordered_map<std::string, std::map<uint64_t, std::set<std::string>>> m_unprovenAhead;
     std::unordered_map<std::string, std::string> m_soleVersions; /**< By service: the version of all replicas, as long as there was one. */
     /** By service and version: when its first replica came; zero for what was there before the orders were read. */
     std::unordered_map<std::string, std::map<std::string, MonotonicTime>> m_versions;
--- a/packages/forwarding/src/RolloutWatch.cpp
+++ b/packages/forwarding/src/RolloutWatch.cpp
@@ -19,6 +19,7 @@
     // Between two reviews, after which the loop has stood still: answers that came meanwhile took longer than their replicas did.
     constexpr milliseconds longestPause { 250 };
     constexpr int maxUnproven = 16; // versions, of one order
+    constexpr size_t maxOrdersAhead = 16; // of one service, told by others before this host has read them
     constexpr size_t maxOwners = 2048; // hosts and incarnations whose evidence is kept, for one order
     constexpr size_t maxParts = 128; // of one order
     constexpr uint64_t longestAgeMs = 3'600'000; // keeps ages that a broken message names in range
@@ -75,8 +76,12 @@
     if (replaces && record.state != RolloutState::Complete) {
         notProven.insert(record.order.candidate);
     }
+    const auto key = keyOf(content.order);
+    if (auto ahead = m_unprovenAhead.extract(content.order.service)) {
+        notProven.merge(ahead.mapped()[key]);
+    }
     notProven.erase(content.order.candidate);
-    record = { .order = content.order, .document = document, .revision = revision, .state = content.state, .seenAt = BootClock::now(), .key = keyOf(content.order), .notProven = std::move(notProven) };
+    record = { .order = content.order, .document = document, .revision = revision, .state = content.state, .seenAt = BootClock::now(), .key = key, .notProven = std::move(notProven) };
     m_log.info("rollout ordered", { { "service", content.order.service }, { "version", content.order.candidate }, { "within_ms", content.order.within }, { "state", rolloutStateName(content.state) }, { "replaces_another", replaces }, { "revision", revision } });
 }
 
@@ -333,7 +338,8 @@
     for (const auto& message : state.rollouts()) {
         const auto found = m_orders.find(message.service());
         if (found == m_orders.end() || found->second.key != message.order()) {
-            continue; // this host has yet to read the order, or the other one has
+            keepAhead(message); // this host has yet to read the order, or the other one has
+            continue;
         }
         auto* record = &found->second;
         // A host that has started since does not know what the order has replaced.
@@ -360,6 +366,16 @@
     }
 }
 
+/** The host that tells may have ended when this one reads the order. */
+void RolloutWatch::keepAhead(const schema::RolloutMessage& message)
+{
+    const auto& versions = message.unproven_versions();
+    auto& ahead = m_unprovenAhead[message.service()];
+    if (ahead.size() < maxOrdersAhead || ahead.contains(message.order())) {
+        ahead[message.order()] = { versions.begin(), versions.begin() + std::min(versions.size(), maxUnproven) };
+    }
+}
+
 /** The share that the newest holder of the duty has set; a holder only raises it. */
 void RolloutWatch::takeOver(RolloutRecord& record, const schema::RolloutMessage& message, const std::string& host)
 {
