Soak: a connection that has lost bytes carries none of those behind them

Cause: the soak's proxy. A fault of the link drops what comes while it lasts and lets pass what comes later, in the same connection. The logs: the link of the replica fell silent about when the stream began; the silence ended before the last chunk, so four events were missing in front of a sound end. A connection of TCP delivers no such hole.

Change: a direction of a connection that has lost bytes carries no more. No check changes.

--- a/tests/soak/SoakProxy.cpp
+++ b/tests/soak/SoakProxy.cpp
@@ -58,7 +58,8 @@
 
 void SoakProxy::deliver(const std::shared_ptr<Link>& link, bool forth, size_t size)
 {
-    const bool lost = m_fault == LinkFault::Silence || (m_fault == LinkFault::LoseAnswers && !forth);
+    bool& lost = forth ? link->lostFromCaller : link->lostFromUpstream;
+    lost = lost || m_fault == LinkFault::Silence || (m_fault == LinkFault::LoseAnswers && !forth);
     if (!lost) {
         auto& to = forth ? link->upstream : link->caller;
         asio::error_code error;
--- a/tests/soak/SoakProxy.h
+++ b/tests/soak/SoakProxy.h
@@ -16,7 +16,7 @@
     None,
     Delay, /**< Each piece waits. */
     LoseAnswers, /**< One way: requests arrive, nothing comes back. */
-    Silence, /**< Nothing is carried either way; connections stay open. */
+    Silence, /**< Nothing is carried either way; connections stay open, and those that have lost bytes carry no more that way. */
 };
 
 /** A loopback proxy for TCP between two programs. Thread safety: loop thread only. */
@@ -41,6 +41,8 @@
         asio::ip::tcp::socket upstream;
         std::array<char, 16384> fromCaller {};
         std::array<char, 16384> fromUpstream {};
+        bool lostFromCaller { false };
+        bool lostFromUpstream { false };
     };
 
     void accept();
