MetricsTest: a service's name cannot break a line or a label

The labels that hold text of others are the names of services, in the metrics of the product's own interface; prometheus-cpp escapes them. All other labels are words of the program, or the host's own settings.

--- a/packages/observability/tests/MetricsTest.cpp
+++ b/packages/observability/tests/MetricsTest.cpp
@@ -79,6 +79,15 @@
     CHECK(valueOf(metrics, "siskinspread_requests_total", { "service=\"other\"" }) == 5);
 }
 
+// Names of services are the operators': none may end a line or begin a series.
+TEST_CASE("a service's name cannot break a line or a label")
+{
+    Metrics metrics { { .host = "gauteng-1a", .failureDomain = "gauteng-1" } };
+    metrics.countRequest("a\"} 7\nsiskinspread_open_requests 9\\", ResultCode::Ok);
+    CHECK(valueOf(metrics, "siskinspread_requests_total", { R"(service="a\"} 7\nsiskinspread_open_requests 9\\")" }) == 1);
+    CHECK(metrics.metricsText().find("\nsiskinspread_open_requests 9") == std::string::npos);
+}
+
 TEST_CASE("the page on observability describes every metric and label and names no other metric")
 {
     Metrics metrics { {} };
