Keep all that is told of a replaced order before this host reads it

Callers: requests went to a version whose order had been replaced before it was complete.

Cause: a host that has started since tells the order without the version. That wrote over what others had told before they ended.

In the logs two hosts knew of it and ended; one of them started again and read the order 0.8 s before the other two.

Change: versions told of one order join up, as they do once it is read.

--- a/packages/forwarding/src/RolloutWatch.cpp
+++ b/packages/forwarding/src/RolloutWatch.cpp
@@ -369,10 +369,16 @@
 /** The host that tells may have ended when this one reads the order. */
 void RolloutWatch::keepAhead(const schema::RolloutMessage& message)
 {
-    const auto& versions = message.unproven_versions();
     auto& ahead = m_unprovenAhead[message.service()];
-    if (ahead.size() < maxOrdersAhead || ahead.contains(message.order())) {
-        ahead[message.order()] = { versions.begin(), versions.begin() + std::min(versions.size(), maxUnproven) };
+    if (ahead.size() >= maxOrdersAhead && !ahead.contains(message.order())) {
+        return;
+    }
+    auto& notProven = ahead[message.order()];
+    // Others that have started since tell fewer.
+    for (const auto& version : message.unproven_versions()) {
+        if (notProven.size() < maxUnproven) {
+            notProven.insert(version);
+        }
     }
 }
 
