A stream whose run was stopped for a lost or late order is not complete

Cause: an order to stop a run was given up after 0.8 s, or when its connection broke, and from then on counted as never sent. The replica carried it out and closed the stream, which is how such a stream ends as well. Where the retry budget allowed it, a second order hid the fault.

Change: what orders say about the end of an answer is a decision of its own (RunMove.h). An order stays open for as long as the request lasts, since only its answer tells whether the close of the stream is its end. A late answer is used: the run goes on at the target. Refused orders leave the stream whole, a lost one does not. Log and metrics tell stopped, refused and unknown apart.

A second order on silence is sent after 2 s instead of 0.8 s: it would take from the retry budget that other runs need for their first.

--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -7,11 +7,13 @@
 #include "siskinspread/ReplicaCall.h"
 #include "siskinspread/ReplicaDirectory.h"
 #include "siskinspread/ResultCode.h"
+#include "siskinspread/RunMove.h"
 
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace siskinspread {
 
@@ -110,8 +112,11 @@
     void tryAgain(ResultCode cause, std::string_view why);
     bool mayRepeat() const;
     void onNotExecuted();
-    /** @return whether a stream whose end has come lacks something. */
-    bool endedEarly() const;
+    /** The end of a stream has come, and nothing of an event is missing. */
+    void onStreamEnded();
+    void completeStream();
+    /** The answer of the current attempt is whole, and no failure of its replica. */
+    void noteAnswerWhole();
     void beginStream(AnswerHead&&);
     void deliverWhole();
     void passOn(std::string_view bytes);
@@ -130,10 +135,14 @@
     bool isMovable() const;
     bool mustMove(MonotonicTime now);
     void startMove(std::shared_ptr<Replica> target, MonotonicTime now);
-    void onMoved(std::optional<MemoryMoveAnswer>, const LastReason&);
+    void onStopOrderEnded(uint64_t number, std::optional<MemoryMoveAnswer>, const LastReason&);
+    /** Notes the end of an answer whose replica was ordered to stop its run. */
+    void endMovingAnswer(AnswerEnd);
+    void stepMove();
     void continueMoved();
     /** The source has closed the stream of a run that cannot be carried on. */
     void endUnmoved(std::string_view why);
+    void forgetMove();
 
     /** Answers up to this size are delivered only once they are whole, so that a broken one can still become an error. */
     static constexpr size_t maxWholeBytes = 256U << 10U;
@@ -149,16 +158,23 @@
     AnswerHead m_answer;
     std::string m_body; /**< Of an answer that is delivered whole. */
     EventScanner m_events;
-    /** A run on its way from one replica to another. */
-    struct Move {
-        std::shared_ptr<ReplicaCall> call; /**< Until it has been answered. */
+    /** An order to the replica of the current attempt to stop the run. */
+    struct StopOrder {
+        uint64_t number { 0 };
+        std::shared_ptr<ReplicaCall> call;
         std::shared_ptr<Replica> target;
-        std::string memoryFrom; /**< Once answered. */
-        MonotonicTime answeredAt {};
-        bool sourceEnded { false }; /**< The source has closed the stream: all of its events are here. */
-        bool callCounted { true }; /**< Against the limit of the target. */
+        MonotonicTime sentAt;
     };
-    std::optional<Move> m_move;
+    /** Where the run goes on once its replica has closed the stream. */
+    struct Continuation {
+        std::shared_ptr<Replica> replica;
+        std::string memoryFrom;
+        bool callCounted { true }; /**< Against the limit of the replica. */
+    };
+    RunMove m_move; /**< Of the current attempt. */
+    std::vector<StopOrder> m_stopOrders; /**< Without an answer so far. */
+    uint64_t m_stopOrdersSent { 0 };
+    std::optional<Continuation> m_continuation;
     std::optional<MonotonicTime> m_moveTriedAt;
     std::string m_memoryFrom; /**< For the next attempt; see ForwardOrder. */
     bool m_callCounted { false }; /**< The next attempt has been counted against the limit of its replica. */
--- a/packages/forwarding/include/siskinspread/ForwardingMetrics.h
+++ b/packages/forwarding/include/siskinspread/ForwardingMetrics.h
@@ -28,6 +28,8 @@
 
     void countAnswer(int status, ResultCode result);
     void countRepeat(RepeatCause cause);
+    /** @param end what is known of an order to stop a run, such as "stopped". */
+    void countStopOrder(std::string_view end);
     void countNewConnection();
     /** @param reason connections, memory or large_bodies. */
     void countShedConnection(std::string_view reason);
--- a/packages/forwarding/include/siskinspread/ReplicaCall.h
+++ b/packages/forwarding/include/siskinspread/ReplicaCall.h
@@ -24,7 +24,10 @@
  */
 class ReplicaCall final : public AnswerObserver, public std::enable_shared_from_this<ReplicaCall> {
 public:
-    /** @param answer nothing, with a reason, when none came whole. Called once, not from start(). */
+    /**
+     * @param answer nothing, with a reason, when none came whole. Called once, not from start().
+     * @param reason BackendConnectFailed (the call was not sent), BackendStreamBroken or BackendError (it may have had its effect).
+     */
     using Ended = std::function<void(std::optional<ReplicaCallAnswer> answer, const LastReason& reason)>;
     ReplicaCall(asio::io_context&, NetworkAddress, Ended);
 
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -199,12 +199,12 @@
         onNotExecuted();
         return;
     }
-    if (endedEarly()) {
-        onAnswerBroken(m_attempt.endsWithConnection ? ReplicaFailure::Closed : ReplicaFailure::Unreadable);
+    if (m_phase == Phase::Answering) {
+        onStreamEnded();
         return;
     }
     auto& health = m_attempt.replica->health;
-    if (m_phase != Phase::Answering && m_answer.status >= 500) {
+    if (m_answer.status >= 500) {
         m_forwarder.rollouts().noteFailure(*m_attempt.replica, m_request.route->name, true, false);
         noteFailure(health, m_forwarder.healthOptions(), std::chrono::steady_clock::now());
         if (mayRepeat()) {
@@ -213,23 +213,38 @@
             return;
         }
     } else {
-        m_forwarder.rollouts().noteEnd(*m_attempt.replica, m_request.route->name, std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_attempt.sentAt));
-        noteSuccess(health, m_forwarder.healthOptions());
+        noteAnswerWhole();
     }
     releaseAttempt(true);
-    if (m_phase == Phase::Answering) {
-        auto connection = m_request.received.connection;
-        finish(ResultCode::Ok, 200, "stream complete");
-        connection->endAnswer();
-        return;
-    }
     deliverWhole();
 }
 
-/** The close of a connection that ends a stream is also how a source ends a run that moves. */
-bool Exchange::endedEarly() const
+/** The close of a connection that ends a stream is also how a replica ends a run that it was ordered to stop. */
+void Exchange::onStreamEnded()
+{
+    if (m_events.hasPart()) {
+        onAnswerBroken(m_attempt.endsWithConnection ? ReplicaFailure::Closed : ReplicaFailure::Unreadable);
+    } else if (dependsOnOrders(m_move)) {
+        endMovingAnswer(m_attempt.endsWithConnection ? AnswerEnd::Closed : AnswerEnd::Marked);
+    } else {
+        completeStream();
+    }
+}
+
+void Exchange::completeStream()
 {
-    return m_phase == Phase::Answering && (m_events.hasPart() || (m_attempt.endsWithConnection && m_move));
+    noteAnswerWhole();
+    releaseAttempt(true);
+    auto connection = m_request.received.connection;
+    finish(ResultCode::Ok, 200, "stream complete");
+    connection->endAnswer();
+}
+
+void Exchange::noteAnswerWhole()
+{
+    auto& replica = *m_attempt.replica;
+    m_forwarder.rollouts().noteEnd(replica, m_request.route->name, std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_attempt.sentAt));
+    noteSuccess(replica.health, m_forwarder.healthOptions());
 }
 
 void Exchange::onNotExecuted()
@@ -267,14 +282,8 @@
         return;
     }
     const bool arrived = failure != ReplicaFailure::ConnectFailed && failure != ReplicaFailure::ConnectTimedOut;
-    if (m_move && !arrived) {
-        m_move->call->cancel(); // there is no run to be moved
-        m_move.reset();
-    }
-    if (m_move) {
-        m_run = m_run == RunState::Ran ? RunState::Ran : RunState::MayHaveRun;
-        m_move->sourceEnded = true;
-        continueMoved();
+    if (arrived && dependsOnOrders(m_move)) {
+        endMovingAnswer(AnswerEnd::Broken);
         return;
     }
     noteFailure(m_attempt.replica->health, m_forwarder.healthOptions(), std::chrono::steady_clock::now());
@@ -340,6 +349,7 @@
     if (!m_attempt.replica) {
         return;
     }
+    forgetMove();
     auto& load = m_attempt.replica->ownLoad;
     load.requests -= std::min<uint32_t>(load.requests, 1);
     load.heldTokens -= std::min<uint64_t>(load.heldTokens, m_attempt.heldTokens);
--- a/packages/forwarding/src/ExchangeEnd.cpp
+++ b/packages/forwarding/src/ExchangeEnd.cpp
@@ -20,10 +20,7 @@
 {
     m_phase = Phase::Done;
     m_timer.cancel();
-    if (m_move && m_move->call) {
-        m_move->call->cancel();
-    }
-    m_move.reset();
+    forgetMove();
     releaseAttempt(false);
 }
 
@@ -113,10 +110,7 @@
 {
     m_phase = Phase::Done;
     m_timer.cancel();
-    if (m_move && m_move->call) {
-        m_move->call->cancel();
-    }
-    m_move.reset();
+    forgetMove();
     m_request.received.connection->watchLeaving(nullptr);
     const auto now = std::chrono::steady_clock::now();
     m_forwarder.metrics().countAnswer(status, code);
--- a/packages/forwarding/src/ExchangeMove.cpp
+++ b/packages/forwarding/src/ExchangeMove.cpp
@@ -3,6 +3,8 @@
 
 #include "siskinspread/Forwarder.h"
 
+#include <algorithm>
+
 namespace siskinspread {
 
 namespace {
@@ -11,10 +13,20 @@
 
     // Before a replica ends: an order and its copy (tens of milliseconds), and a report that is some hundred milliseconds old, fit in.
     constexpr milliseconds moveLead { 900 };
-    constexpr milliseconds moveTimeout { 800 }; // an answer that comes later finds the replica gone
     constexpr milliseconds tryAgainAfter { 200 }; // a run that had not begun yet, or found no room
+    // A further order while one is open: replicas carry out many at once only slowly, and each draws on the retry budget.
+    constexpr milliseconds orderAgainAfter { 2000 };
     constexpr milliseconds answerPatience { 150 }; // for a replica that is asked when it ends
-    constexpr milliseconds closingTime { 150 }; // in which a source that has stopped a run closes its stream
+    constexpr RunMoveOptions moveOptions {};
+
+    StopOrderEnd endOf(const std::optional<MemoryMoveAnswer>& answer, const LastReason& reason)
+    {
+        if (answer) {
+            return StopOrderEnd::Stopped;
+        }
+        const bool notCarriedOut = reason.code == ResultCode::BackendRejected || reason.code == ResultCode::BackendConnectFailed;
+        return notCarriedOut ? StopOrderEnd::Refused : StopOrderEnd::Unknown;
+    }
 
 } // namespace
 
@@ -43,14 +55,13 @@
 
 void Exchange::reviewMove(MonotonicTime now)
 {
-    if (m_move && !m_move->call && now - m_move->answeredAt > closingTime) {
-        m_move->sourceEnded = true;
-        continueMoved();
+    if (m_move.stoppedAt || m_move.answerEnd) {
+        stepMove();
         return;
     }
     const bool isRunning = m_phase == Phase::Answering || m_phase == Phase::Sent;
-    const bool tried = m_moveTriedAt && now - *m_moveTriedAt < tryAgainAfter;
-    if (!isRunning || m_move || tried || isPaused(*m_attempt.replica, now) || m_request.route->resumable || !isMovable() || !mustMove(now)) {
+    const bool tried = m_moveTriedAt && now - *m_moveTriedAt < (m_stopOrders.empty() ? tryAgainAfter : orderAgainAfter);
+    if (!isRunning || tried || isPaused(*m_attempt.replica, now) || m_request.route->resumable || !isMovable() || !mustMove(now)) {
         return;
     }
     const auto& source = *m_attempt.replica;
@@ -83,43 +94,76 @@
         .sourcePort = source.port,
         .targetAddress = target->entry.address,
         .targetPort = target->entry.port };
-    auto call = std::make_shared<ReplicaCall>(m_forwarder.context(), NetworkAddress { source.address, source.port }, [weak = weak_from_this(), move](std::optional<ReplicaCallAnswer> answer, const LastReason& broken) {
+    const auto number = ++m_stopOrdersSent;
+    auto call = std::make_shared<ReplicaCall>(m_forwarder.context(), NetworkAddress { source.address, source.port }, [weak = weak_from_this(), move, number](std::optional<ReplicaCallAnswer> answer, const LastReason& broken) {
         if (auto self = weak.lock()) {
             LastReason reason = broken;
             if (answer && self->m_attempt.replica) {
                 self->m_forwarder.noteAnswer(self->m_attempt.replica, self->m_forwarder.adapter().decodeAnswer(answer->head));
             }
-            self->onMoved(answer ? self->m_forwarder.adapter().decodeMemoryMove(move, answer->head.status, answer->body, reason) : std::nullopt, reason);
+            self->onStopOrderEnded(number, answer ? self->m_forwarder.adapter().decodeMemoryMove(move, answer->head.status, answer->body, reason) : std::nullopt, reason);
         }
     });
-    m_move = Move { .call = call, .target = std::move(target) };
+    noteOrderSent(m_move);
+    m_stopOrders.push_back({ .number = number, .call = call, .target = std::move(target), .sentAt = now });
     std::string bytes;
     m_forwarder.adapter().encodeMemoryMove(move, bytes);
-    call->start(std::move(bytes), moveTimeout);
+    // An answer is of use for as long as the request lasts: only it tells whether the close of the stream is its end.
+    call->start(std::move(bytes), std::max(milliseconds { 1 }, std::chrono::duration_cast<milliseconds>(m_request.endsAt - now)));
 }
 
-void Exchange::onMoved(std::optional<MemoryMoveAnswer> answer, const LastReason& reason)
+void Exchange::onStopOrderEnded(uint64_t number, std::optional<MemoryMoveAnswer> answer, const LastReason& reason)
 {
-    if (isDone() || !m_move) {
+    const auto order = std::find_if(m_stopOrders.begin(), m_stopOrders.end(), [&](const StopOrder& sent) { return sent.number == number; });
+    if (isDone() || order == m_stopOrders.end()) {
         return;
     }
-    m_move->call.reset();
-    m_forwarder.log().info("run moved", { { "attempt", m_request.caller.attemptId }, { "copied", answer && answer->copied }, { "stopped", answer.has_value() }, { "why", answer ? "" : reason.detail } });
-    if (!answer) {
-        const bool ended = m_move->sourceEnded;
-        m_move.reset();
-        if (ended) {
-            endUnmoved("the replica broke off and the run was not moved");
-        }
-        return;
+    const auto now = std::chrono::steady_clock::now();
+    const auto end = endOf(answer, reason);
+    m_forwarder.metrics().countStopOrder(stopOrderEndName(end));
+    m_forwarder.log().info("run moved", { { "attempt", m_request.caller.attemptId }, { "copied", answer && answer->copied }, { "stopped", answer.has_value() }, { "order", stopOrderEndName(end) }, { "after_ms", std::chrono::duration_cast<milliseconds>(now - order->sentAt) }, { "stream_ended", m_move.answerEnd.has_value() }, { "why", answer ? "" : reason.detail } });
+    noteOrderEnded(m_move, end, now);
+    auto target = std::move(order->target);
+    m_stopOrders.erase(order);
+    if (answer && !m_continuation) {
+        // Where nothing was copied, the source has kept the memory, and goes on for as long as it is there.
+        m_continuation = Continuation { .replica = answer->copied ? std::move(target) : m_attempt.replica, .memoryFrom = std::move(answer->memoryFrom), .callCounted = answer->copied };
+    }
+    stepMove();
+}
+
+void Exchange::endMovingAnswer(AnswerEnd end)
+{
+    m_run = m_run == RunState::Ran ? RunState::Ran : RunState::MayHaveRun;
+    noteAnswerEnded(m_move, end, std::chrono::steady_clock::now());
+    stepMove();
+}
+
+void Exchange::stepMove()
+{
+    switch (nextStep(m_move, moveOptions, std::chrono::steady_clock::now())) {
+    case RunMoveStep::Wait:
+        break;
+    case RunMoveStep::Continue:
+        continueMoved();
+        break;
+    case RunMoveStep::Complete:
+        completeStream();
+        break;
+    case RunMoveStep::Fail:
+        endUnmoved(m_move.answerEnd == AnswerEnd::Closed ? "the replica closed the stream and may have stopped the run" : "the replica broke off and the run was not moved");
+        break;
     }
-    m_move->memoryFrom = std::move(answer->memoryFrom);
-    m_move->answeredAt = std::chrono::steady_clock::now();
-    if (!answer->copied) {
-        m_move->target = m_attempt.replica; // it kept the memory, and goes on for as long as it is there
-        m_move->callCounted = false;
+}
+
+void Exchange::forgetMove()
+{
+    for (const auto& order : m_stopOrders) {
+        order.call->cancel();
     }
-    continueMoved();
+    m_stopOrders.clear();
+    m_move = {};
+    m_continuation.reset();
 }
 
 void Exchange::endUnmoved(std::string_view why)
@@ -135,33 +179,30 @@
 /** Goes on once the source has closed the stream, so that no event is lost or comes twice. */
 void Exchange::continueMoved()
 {
-    const auto& target = *m_move->target;
-    if (!m_move->sourceEnded || m_move->call || isPaused(target, std::chrono::steady_clock::now())) {
+    const auto& replica = *m_continuation->replica;
+    if (isPaused(replica, std::chrono::steady_clock::now())) {
         return; // looked at again by reviewMove
     }
-    if (!m_move->callCounted && !m_forwarder.limits().mayCall(target.identity)) {
-        if (!m_forwarder.limits().find(target.identity)->holdsShare) {
-            m_move.reset();
+    if (!m_continuation->callCounted && !m_forwarder.limits().mayCall(replica.identity)) {
+        if (!m_forwarder.limits().find(replica.identity)->holdsShare) {
             endUnmoved("the replica that keeps the memory of the run takes no more requests from this host");
         }
         return;
     }
     if (m_forwarder.crashes().heldFor(m_request.caller.prompt)) {
-        m_move.reset();
         endUnmoved("a part of the prompt is suspected of crashing replicas");
         return;
     }
-    const auto move = std::move(*m_move);
-    m_move.reset();
-    if (move.target != m_attempt.replica) {
+    const auto continuation = std::move(*m_continuation);
+    if (continuation.replica != m_attempt.replica) {
         m_moveTriedAt.reset(); // the target may have to leave as well
     }
     releaseAttempt(false);
     m_events.dropPart();
-    m_memoryFrom = move.memoryFrom;
-    m_callCounted = move.callCounted;
+    m_memoryFrom = continuation.memoryFrom;
+    m_callCounted = continuation.callCounted;
     m_forwarder.metrics().countRepeat(RepeatCause::StreamMoved);
-    sendTo(move.target, {});
+    sendTo(continuation.replica, {});
 }
 
 } // namespace siskinspread
--- a/packages/forwarding/src/ForwardingMetrics.cpp
+++ b/packages/forwarding/src/ForwardingMetrics.cpp
@@ -47,6 +47,7 @@
         : labels(constant)
         , answers(counters("siskinspread_forward_answers_total", "Final answers to callers"))
         , repeats(counters("siskinspread_forward_repeats_total", "Requests sent once more"))
+        , stopOrders(counters("siskinspread_forward_stop_orders_total", "Orders to a replica to stop a run that moves"))
         , storeCalls(counters("siskinspread_forward_store_calls_total", "Calls to the platform"))
         , shedConnections(counters("siskinspread_forward_shed_connections_total", "Callers' connections closed for others"))
         , loadReports(counters("siskinspread_forward_load_reports_total", "Answers in which a replica told its load"))
@@ -67,6 +68,7 @@
     prometheus::Registry registry;
     Family<Counter>& answers;
     Family<Counter>& repeats;
+    Family<Counter>& stopOrders;
     Family<Counter>& storeCalls;
     Family<Counter>& shedConnections;
     Family<Counter>& loadReports;
@@ -97,6 +99,11 @@
     m_series->repeats.Add({ { "cause", std::string { nameOf(cause) } } }).Increment();
 }
 
+void ForwardingMetrics::countStopOrder(std::string_view end)
+{
+    m_series->stopOrders.Add({ { "end", std::string { end } } }).Increment();
+}
+
 void ForwardingMetrics::countShedConnection(std::string_view reason)
 {
     m_series->shedConnections.Add({ { "reason", std::string { reason } } }).Increment();
--- a/packages/forwarding/src/ReplicaCall.cpp
+++ b/packages/forwarding/src/ReplicaCall.cpp
@@ -5,6 +5,7 @@
 namespace {
 
     constexpr size_t maxAnswerBytes = 64U << 10U; // a report lists what runs at a replica
+    constexpr std::chrono::milliseconds connectTimeout { 400 };
 
 } // namespace
 
@@ -23,7 +24,7 @@
             self->end(std::nullopt, { .code = ResultCode::BackendError, .detail = "no answer in time" });
         }
     });
-    m_connection->send(std::move(bytes), nullptr, true, timeout, shared_from_this());
+    m_connection->send(std::move(bytes), nullptr, true, std::min(timeout, connectTimeout), shared_from_this());
 }
 
 void ReplicaCall::cancel()
@@ -51,7 +52,8 @@
 
 void ReplicaCall::onAnswerBroken(ReplicaFailure failure)
 {
-    end(std::nullopt, { .code = ResultCode::BackendStreamBroken, .detail = std::string { failureName(failure) } });
+    const bool sent = failure != ReplicaFailure::ConnectFailed && failure != ReplicaFailure::ConnectTimedOut;
+    end(std::nullopt, { .code = sent ? ResultCode::BackendStreamBroken : ResultCode::BackendConnectFailed, .detail = std::string { failureName(failure) } });
 }
 
 void ReplicaCall::end(std::optional<ReplicaCallAnswer> answer, const LastReason& reason)
