An answer that does not say whether the run was stopped is no refusal

Callers: a stream without length or chunks looked complete although its replica had stopped the run, where the answer to the order was a 500 or 504 of the replica, a status that is not in the protocol, or a 503 whose handle was cut or could not be read.

Cause: decodeMemoryMove took every status but 200 and 503, and every 503 without a readable handle, for "not stopped". Only a 4xx, and a 503 that names no handle, say that.

--- a/packages/forwarding/include/siskinspread/PlatformAdapter.h
+++ b/packages/forwarding/include/siskinspread/PlatformAdapter.h
@@ -183,7 +183,7 @@
     virtual std::optional<ReplicaState> decodeState(int status, std::string_view body, LastReason& reason) const = 0;
     /** Appends a whole request to the source. Precondition: the request is nameable. */
     virtual void encodeMemoryMove(const MemoryMove&, std::string& out) const = 0;
-    /** @return nothing when the run was not stopped, or is none. @param reason BackendRejected, or BackendError when the answer cannot be read. */
+    /** @return nothing when the run was not stopped, or may not have been. @param reason BackendRejected (not stopped), or BackendError (the answer does not tell). */
     virtual std::optional<MemoryMoveAnswer> decodeMemoryMove(const MemoryMove&, int status, std::string_view body, LastReason& reason) const = 0;
 
     virtual StartTransfer listDocuments(StoreCollection, std::string_view after) const = 0;
