Comments and empty lines between events are no part of an event

Callers: a whole stream was cut where its replica ended it with a comment or an additional empty line behind the last event, or where its lines end in a carriage return alone; such a line was kept back until the next event. This concerns routes that can be resumed, runs that can be moved, and streams without length or chunks.

Cause: EventScanner looked for two line feeds in a row and took everything behind them for the beginning of an event.

Change: the scanner follows lines as the HTML standard has them, each byte once; before, a long event in small pieces was searched from its beginning for each piece. An unfinished comment still counts as a part: the line was cut.

--- a/packages/forwarding/src/EventScanner.cpp
+++ b/packages/forwarding/src/EventScanner.cpp
@@ -1,47 +1,55 @@
 #include "siskinspread/EventScanner.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace siskinspread {
 
-namespace {
-
-    /** @return the end of the first event in `text`, behind its empty line; npos when there is none. */
-    size_t endOfEvent(std::string_view text)
-    {
-        for (size_t at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
-            size_t next = at + 1;
-            if (next < text.size() && text[next] == '\r') {
-                ++next;
-            }
-            if (next < text.size() && text[next] == '\n') {
-                return next + 1;
-            }
-        }
-        return std::string_view::npos;
-    }
-
-} // namespace
-
 std::string EventScanner::feed(std::string_view bytes)
 {
+    const size_t before = m_part.size();
     m_part.append(bytes);
     size_t whole = 0;
-    std::string_view rest { m_part };
-    for (size_t end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
-        readId(rest.substr(0, end));
-        rest.remove_prefix(end);
-        whole += end;
+    for (size_t at = before; at < m_part.size(); ++at) {
+        if (passByte(m_part[at])) {
+            readId(std::string_view { m_part }.substr(whole, at + 1 - whole));
+            whole = at + 1;
+        }
     }
     std::string events = m_part.substr(0, whole);
     m_part.erase(0, whole);
     return events;
 }
 
+void EventScanner::dropPart()
+{
+    m_part.clear();
+    m_insideEvent = false;
+    m_insideLine = false;
+    m_afterCarriageReturn = false;
+}
+
+bool EventScanner::passByte(char byte)
+{
+    const bool endsSameLine = byte == '\n' && m_afterCarriageReturn;
+    m_afterCarriageReturn = byte == '\r';
+    if (byte == '\n' || byte == '\r') {
+        // An empty line ends an event.
+        m_insideEvent = m_insideEvent && (m_insideLine || endsSameLine);
+        m_insideLine = false;
+        return !m_insideEvent;
+    }
+    if (!m_insideLine) {
+        m_insideLine = true;
+        m_insideEvent = m_insideEvent || byte != ':';
+    }
+    return false;
+}
+
 void EventScanner::readId(std::string_view event)
 {
     while (!event.empty()) {
-        auto line = event.substr(0, event.find('\n'));
+        auto line = event.substr(0, event.find_first_of("\r\n"));
         event.remove_prefix(std::min(event.size(), line.size() + 1));
         if (!line.starts_with("id:")) {
             continue;
--- a/packages/forwarding/tests/EventScannerTest.cpp
+++ b/packages/forwarding/tests/EventScannerTest.cpp
@@ -44,3 +44,40 @@
         RC_ASSERT(scanner.lastId() == std::optional<uint64_t> { 20U });
     }));
 }
+
+// Guards against whole streams that look broken off for what follows their last event.
+TEST_CASE("comments and empty lines between events are part of none")
+{
+    for (const std::string between : { "\n", "\n\n", ": comment\n", "\r\n", ":\r", ": one\n\n: two\n" }) {
+        CAPTURE(between);
+        EventScanner scanner;
+        CHECK(scanner.feed(between + "id: 1\n\n" + between) == between + "id: 1\n\n" + between);
+        CHECK_FALSE(scanner.hasPart());
+        CHECK(scanner.lastId() == 1U);
+    }
+}
+
+TEST_CASE("a comment inside an event, or that has not ended, is kept back")
+{
+    EventScanner scanner;
+    CHECK(scanner.feed("id: 1\n: comment\n").empty());
+    CHECK(scanner.hasPart());
+    CHECK(scanner.feed("\n: comm") == "id: 1\n: comment\n\n");
+    CHECK(scanner.hasPart());
+}
+
+TEST_CASE("the same events are found whatever ends their lines, however the stream is cut")
+{
+    for (const std::string end : { "\n", "\r\n", "\r" }) {
+        const auto stream = "id: 1" + end + "data: a" + end + end + "id: 2" + end + end;
+        for (size_t cut = 0; cut <= stream.size(); ++cut) {
+            CAPTURE(end);
+            CAPTURE(cut);
+            EventScanner scanner;
+            const auto first = scanner.feed(stream.substr(0, cut));
+            CHECK(first + scanner.feed(stream.substr(cut)) == stream);
+            CHECK_FALSE(scanner.hasPart());
+            CHECK(scanner.lastId() == 2U);
+        }
+    }
+}
