Only a stream of events is followed and resumed as one

Callers: on streaming routes that can be resumed, or whose runs can be moved, a whole JSON answer was cut, since no event in it ended. One whose replica broke off was sent again, with the second replica's bytes behind the first's.

Cause: every success on a streaming route was read as events, whatever its Content-Type.

Change: the type of the answer decides; one without a type is taken for events, as before. Other answers are passed on as they arrive, are neither resumed nor moved, and do not continue a stream.

--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -180,6 +180,7 @@
     bool m_callCounted { false }; /**< The next attempt has been counted against the limit of its replica. */
     std::optional<bool> m_canary;
     bool m_streaming { false };
+    bool m_passesEvents { false }; /**< What the caller gets is a stream of events, which can go on at another replica. */
     bool m_usageCounted { false };
     std::optional<MonotonicTime> m_firstByteAt;
 };
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -20,6 +20,15 @@
         return std::chrono::duration_cast<milliseconds>(to - from);
     }
 
+    /** @return whether the body is a stream of events: replicas that name no type on a streaming route send one. */
+    bool isEventStream(const AnswerHead& head)
+    {
+        auto type = findHeader(head.headers, "Content-Type").value_or("text/event-stream");
+        type = type.substr(0, type.find(';'));
+        type = type.substr(0, type.find_last_not_of(" \t") + 1);
+        return equalHeaderNames(type, "text/event-stream"); // media types, too, are compared without regard to case
+    }
+
 } // namespace
 
 Exchange::Exchange(Forwarder& forwarder, AdmittedRequest request)
@@ -135,7 +144,7 @@
         noteFirstByte();
     }
     if (m_phase == Phase::Answering) {
-        if (head.status != 200) {
+        if (head.status != 200 || !isEventStream(head)) {
             auto connection = m_attempt.connection;
             connection->close();
             releaseAttempt(false);
@@ -181,6 +190,7 @@
 void Exchange::beginStream(AnswerHead&& head)
 {
     m_phase = Phase::Answering;
+    m_passesEvents = m_request.route->streaming && isEventStream(head);
     auto& caller = *m_request.received.connection;
     caller.notifyDrained([weak = weak_from_this()] {
         if (auto self = weak.lock(); self && self->m_attempt.connection) {
@@ -272,7 +282,7 @@
     const auto& route = *m_request.route;
     // Once a part of an answer has been passed on, only a stream of events can go on where it broke off: any other answer would
     // consist of the bytes of two replicas.
-    const bool allowed = m_phase == Phase::Answering ? route.streaming && route.resumable : route.repeatable || route.resumable;
+    const bool allowed = m_phase == Phase::Answering ? m_passesEvents && route.resumable : route.repeatable || route.resumable;
     return allowed && m_attempts < route.maxAttempts && std::chrono::steady_clock::now() < m_request.endsAt && m_forwarder.claimRetry(m_request.service->name);
 }
 
--- a/packages/forwarding/src/ExchangeBody.cpp
+++ b/packages/forwarding/src/ExchangeBody.cpp
@@ -31,7 +31,7 @@
         return;
     }
     noteDomainBytes(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
-    if (m_request.route->resumable || isMovable() || (m_request.route->streaming && m_attempt.endsWithConnection)) {
+    if (m_passesEvents && (m_request.route->resumable || isMovable() || m_attempt.endsWithConnection)) {
         passOn(m_events.feed(bytes));
         if (m_events.partBytes() > maxEventBytes) {
             breakOffReplica();
--- a/packages/forwarding/src/ExchangeMove.cpp
+++ b/packages/forwarding/src/ExchangeMove.cpp
@@ -59,7 +59,7 @@
         stepMove();
         return;
     }
-    const bool isRunning = m_phase == Phase::Answering || m_phase == Phase::Sent;
+    const bool isRunning = m_phase == Phase::Sent || (m_phase == Phase::Answering && m_passesEvents);
     const bool tried = m_moveTriedAt && now - *m_moveTriedAt < (m_stopOrders.empty() ? tryAgainAfter : orderAgainAfter);
     if (!isRunning || tried || isPaused(*m_attempt.replica, now) || m_request.route->resumable || !isMovable() || !mustMove(now)) {
         return;
@@ -180,6 +180,10 @@
 void Exchange::continueMoved()
 {
     const auto& replica = *m_continuation->replica;
+    if (m_phase == Phase::Answering && !m_passesEvents) {
+        endUnmoved("the run was stopped, and only a stream of events can go on elsewhere");
+        return;
+    }
     if (isPaused(replica, std::chrono::steady_clock::now())) {
         return; // looked at again by reviewMove
     }
