Follow the events of every stream, whatever its framing and route

Cause: events were followed only where the route can be resumed, the run can be moved, or the stream ends with its connection.

"a stream that ends inside an event and cannot go on looks broken off, however it is framed" failed for length and chunks on a plain route and passed for the end of the connection and for runs that can be moved, before the change. So did "a stream that ends between two events ..." for an event of 300 KB at the end of the connection: a whole stream was cut for the size of its event.

Change: every stream of events is followed. Its part is kept back; of a large event that cannot go on elsewhere it is passed on instead of breaking it off.

--- a/packages/forwarding/include/siskinspread/EventScanner.h
+++ b/packages/forwarding/include/siskinspread/EventScanner.h
@@ -20,6 +20,9 @@
     /** Forgets a part of an event that will not be completed. */
     void dropPart();
 
+    /** @return the part of an event that was kept back; the event stays unfinished until its end is fed. */
+    std::string takePart();
+
     /** @return whether an event or a line has begun and not ended. */
     bool hasPart() const { return m_insideEvent || m_insideLine; }
     /** @return how much is kept back. */
--- a/packages/forwarding/src/EventScanner.cpp
+++ b/packages/forwarding/src/EventScanner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace siskinspread {
 
@@ -29,6 +30,11 @@
     m_afterCarriageReturn = false;
 }
 
+std::string EventScanner::takePart()
+{
+    return std::exchange(m_part, {});
+}
+
 bool EventScanner::passByte(char byte)
 {
     const bool endsSameLine = byte == '\n' && m_afterCarriageReturn;
--- a/packages/forwarding/src/ExchangeBody.cpp
+++ b/packages/forwarding/src/ExchangeBody.cpp
@@ -31,13 +31,18 @@
         return;
     }
     noteDomainBytes(m_forwarder.reachOf(m_attempt.replica->entry.failureDomain), std::chrono::steady_clock::now());
-    if (m_passesEvents && (m_request.route->resumable || isMovable() || m_attempt.endsWithConnection)) {
-        passOn(m_events.feed(bytes));
-        if (m_events.partBytes() > maxEventBytes) {
-            breakOffReplica();
-        }
-    } else {
+    if (!m_passesEvents) {
         passOn(bytes);
+        return;
+    }
+    passOn(m_events.feed(bytes));
+    if (m_events.partBytes() <= maxEventBytes) {
+        return;
+    }
+    if (m_request.route->resumable || isMovable()) {
+        breakOffReplica();
+    } else {
+        passOn(m_events.takePart()); // nothing can go on behind a part, so that no more of it has to be kept back
     }
 }
 
