Pass on streams of events in chunks, also those with a length

Callers: on a route that can be resumed, a stream with a Content-Length that ended inside an event went on at another replica, and they got the length of the first replica (69) and more bytes than it says (120): the rest stood before the next answer on the connection.

Cause: the framing of the first replica's answer was kept, although its length holds for that replica alone. The second answer's own framing never mattered.

Evidence: "a stream that ends inside an event and may be resumed goes on, and is one whole answer, however it is framed" failed for a first answer with a length, whatever the framing of the second, and passed for the other six.

Change: an answer that is passed on as a stream of events is sent in chunks. Answers of other types, and the head of a HEAD, keep their length.

After: platform_adapter_tests pass (164 and one that was taken out: it passed without the change).

--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -197,7 +197,11 @@
             self->m_attempt.connection->resumeReading();
         }
     });
-    caller.beginAnswer(head, m_request.received.head.method == "HEAD");
+    const bool headOnly = m_request.received.head.method == "HEAD";
+    if (m_passesEvents && !headOnly && head.framing == BodyFraming::Length) {
+        head.framing = BodyFraming::Chunked; // the stream may go on at another replica, or end before its length
+    }
+    caller.beginAnswer(head, headOnly);
 }
 
 void Exchange::onAnswerComplete()
