A caller that speaks HTTP/1.0 gets no chunks

Cause: CallerConnection did not look at the version of the request.

Evidence: "a caller that speaks HTTP/1.0 gets a stream that ends with its connection, and a reset where it breaks off" failed for all six answers.

Change: a body without a length ends with the connection for such callers. One that breaks off ends with a reset, as before.

--- a/packages/forwarding/include/siskinspread/CallerConnection.h
+++ b/packages/forwarding/include/siskinspread/CallerConnection.h
@@ -54,7 +54,10 @@
     /** Sends a whole answer. Precondition: a request is in progress and no answer has begun. */
     void respond(int status, std::string_view phrase, const HttpHeaders& headers, std::string_view body, bool close = false);
 
-    /** Begins an answer that is passed on; a body without a length is sent in chunks. Precondition: as respond. */
+    /**
+     * Begins an answer that is passed on; a body without a length is sent in chunks, or ends with the connection where the caller
+     * speaks HTTP/1.0. Precondition: as respond.
+     */
     void beginAnswer(const AnswerHead&, bool headOnly);
     void sendBody(std::string_view bytes);
     /** Ends an answer that is complete. */
@@ -119,6 +122,7 @@
     bool m_headSeen { false };
     bool m_bodyTooLarge { false };
     bool m_chunked { false };
+    bool m_readsChunks { true }; /**< Of the request in progress. */
     bool m_closeAfter { false };
     bool m_lingering { false };
     bool m_writing { false };
--- a/packages/forwarding/include/siskinspread/HttpHead.h
+++ b/packages/forwarding/include/siskinspread/HttpHead.h
@@ -24,6 +24,7 @@
     BodyFraming framing { BodyFraming::None };
     uint64_t length { 0 }; /**< Where `framing` is Length. */
     bool keepAlive { true };
+    bool readsChunks { true }; /**< Its sender speaks HTTP/1.1 or later. */
 };
 
 /** Status line and headers of an answer. */
--- a/packages/forwarding/src/CallerConnection.cpp
+++ b/packages/forwarding/src/CallerConnection.cpp
@@ -219,6 +219,7 @@
     m_headSeen = false;
     m_hadRequest = true;
     m_closeAfter = !m_head.keepAlive;
+    m_readsChunks = m_head.readsChunks;
     accountForMemory();
     if (!m_memory.hasReservation() && m_hooks->memory && m_hooks->memory->isExhausted()) {
         refuseForMemory(); // nothing could be closed for it: all that is held belongs to requests in progress
@@ -254,7 +255,9 @@
 
 void CallerConnection::beginAnswer(const AnswerHead& head, bool headOnly)
 {
-    m_closeAfter = m_closeAfter || m_hooks->closing();
+    const bool hasLength = headOnly || head.framing == BodyFraming::Length || head.framing == BodyFraming::None;
+    m_chunked = !hasLength && m_readsChunks;
+    m_closeAfter = m_closeAfter || m_hooks->closing() || (!hasLength && !m_readsChunks);
     HttpHeaders headers;
     headers.reserve(head.headers.size());
     for (const auto& header : head.headers) {
@@ -263,7 +266,6 @@
         }
     }
     auto text = headText(head.status, head.phrase, headers);
-    m_chunked = !headOnly && (head.framing == BodyFraming::Chunked || head.framing == BodyFraming::UntilClose);
     if (m_chunked) {
         text.append("Transfer-Encoding: chunked\r\n");
     } else if (head.framing == BodyFraming::Length) {
--- a/packages/forwarding/src/HttpStreamParser.cpp
+++ b/packages/forwarding/src/HttpStreamParser.cpp
@@ -126,7 +126,8 @@
         .headers = std::move(headers),
         .framing = framing(),
         .length = framing() == BodyFraming::Length ? parser.content_length : 0,
-        .keepAlive = http_should_keep_alive(&parser) != 0 });
+        .keepAlive = http_should_keep_alive(&parser) != 0,
+        .readsChunks = parser.http_major > 1 || parser.http_minor > 0 });
 }
 
 bool HttpStreamParser::State::deliverAnswerHead()
