Own interface: a relayed stream that ends inside an event ends with an error

Callers that go on with an answer at another host got a normal end where that host's stream ended inside an event. Seen in the unit test only: hosts send whole events to each other.

Cause: StreamAttach looked at the framing alone (TransferEnd::Complete).

Evidence: "a stream that another host ends inside an event ends with an error event" failed before. Ruled out for the own interface: engines' streams need their end mark whatever their framing, so that an early end goes on at another engine; "an engine's stream without its end mark is not complete, wherever it ends" passes without the change and stays.

--- a/packages/daemon/src/StreamAttach.cpp
+++ b/packages/daemon/src/StreamAttach.cpp
@@ -139,7 +139,8 @@
 
 void StreamAttach::onEnded(ExchangeId exchange, Relay& relay, const TransferEnded& ended)
 {
-    const bool isWhole = ended.end == TransferEnd::Complete;
+    // libcurl looks at the framing of the body alone.
+    const bool isWhole = ended.end == TransferEnd::Complete && (!relay.isStream || relay.waiting.empty());
     if (relay.isStream && isWhole) {
         m_context.callers.send(EndStream { .exchange = exchange });
         m_relays.erase(exchange);
