Time a stream by its own end, not by the answer to an order

By reading: a stream whose end waits for the answer to an order (up to 2 s) would have counted as that much longer for the rollout of its version. No test shows it; the stream and rollout tests of platform_adapter_tests pass.

--- a/packages/forwarding/include/siskinspread/Exchange.h
+++ b/packages/forwarding/include/siskinspread/Exchange.h
@@ -112,11 +112,11 @@
     void tryAgain(ResultCode cause, std::string_view why);
     bool mayRepeat() const;
     void onNotExecuted();
-    /** The end of a stream has come, and nothing of an event is missing. */
+    /** The end of a stream has come, by its framing. */
     void onStreamEnded();
     void completeStream();
     /** The answer of the current attempt is whole, and no failure of its replica. */
-    void noteAnswerWhole();
+    void noteAnswerWhole(MonotonicTime endedAt);
     void beginStream(AnswerHead&&);
     void deliverWhole();
     void passOn(std::string_view bytes);
--- a/packages/forwarding/src/Exchange.cpp
+++ b/packages/forwarding/src/Exchange.cpp
@@ -227,7 +227,7 @@
             return;
         }
     } else {
-        noteAnswerWhole();
+        noteAnswerWhole(std::chrono::steady_clock::now());
     }
     releaseAttempt(true);
     deliverWhole();
@@ -247,17 +247,17 @@
 
 void Exchange::completeStream()
 {
-    noteAnswerWhole();
+    noteAnswerWhole(m_move.answerEnd ? m_move.answerEndedAt : std::chrono::steady_clock::now());
     releaseAttempt(true);
     auto connection = m_request.received.connection;
     finish(ResultCode::Ok, 200, "stream complete");
     connection->endAnswer();
 }
 
-void Exchange::noteAnswerWhole()
+void Exchange::noteAnswerWhole(MonotonicTime endedAt)
 {
     auto& replica = *m_attempt.replica;
-    m_forwarder.rollouts().noteEnd(replica, m_request.route->name, std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_attempt.sentAt));
+    m_forwarder.rollouts().noteEnd(replica, m_request.route->name, std::chrono::duration_cast<std::chrono::microseconds>(endedAt - m_attempt.sentAt));
     noteSuccess(replica.health, m_forwarder.healthOptions());
 }
 
