--- a/packages/daemon/tests/StreamEndTest.cpp
+++ b/packages/daemon/tests/StreamEndTest.cpp
@@ -70,12 +70,14 @@
     const std::string token = R"(data: {"choices":[{"delta":{"content":"w"}}]})";
     for (const std::string& rest : { std::string {}, token.substr(0, 9), std::string { "data: [DONE]" }, std::string { "data: [DONE]\n" } }) {
         CAPTURE(rest);
+        auto data = token;
+        data.append("\n\n").append(rest);
         RequestFixture host;
         host.draft("prompt");
         const auto open = host.backendServers.take("/v1/chat");
         REQUIRE(open);
         open->handler(TransferHeaders { .transfer = open->transfer.transfer, .status = 200, .headers = {} });
-        open->handler(TransferData { .transfer = open->transfer.transfer, .data = token + "\n\n" + rest });
+        open->handler(TransferData { .transfer = open->transfer.transfer, .data = data });
         answer(*open, 200, {});
         CHECK_FALSE(hasEnded(host.callers));
         host.pass(std::chrono::milliseconds { 500 });
--- a/packages/forwarding/tests/EventScannerTest.cpp
+++ b/packages/forwarding/tests/EventScannerTest.cpp
@@ -50,8 +50,10 @@
 {
     for (const std::string between : { "\n", "\n\n", ": comment\n", "\r\n", ":\r", ": one\n\n: two\n" }) {
         CAPTURE(between);
+        auto stream = between;
+        stream.append("id: 1\n\n").append(between);
         EventScanner scanner;
-        CHECK(scanner.feed(between + "id: 1\n\n" + between) == between + "id: 1\n\n" + between);
+        CHECK(scanner.feed(stream) == stream);
         CHECK_FALSE(scanner.hasPart());
         CHECK(scanner.lastId() == 1U);
     }
@@ -69,7 +71,10 @@
 TEST_CASE("the same events are found whatever ends their lines, however the stream is cut")
 {
     for (const std::string end : { "\n", "\r\n", "\r" }) {
-        const auto stream = "id: 1" + end + "data: a" + end + end + "id: 2" + end + end;
+        std::string stream;
+        for (const char* line : { "id: 1", "data: a", "", "id: 2", "" }) {
+            stream.append(line).append(end);
+        }
         for (size_t cut = 0; cut <= stream.size(); ++cut) {
             CAPTURE(end);
             CAPTURE(cut);
