--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -342,17 +342,21 @@
 class Caller:
     """A caller with one kept connection to an entry host."""
 
+    number = 0  # of callers so far; each attempt has an id of its own
+
     def __init__(self, host, record, key):
         self.host = host
         self.record = record
         self.key = key
         self.streams = None
+        Caller.number += 1
+        self.number = Caller.number
         self.count = 0
 
     async def request(self, host_header, path, method="GET", deadline_ms=1500, body=b""):
         """@return when it was sent, the attempt's id and the status; None where no answer came."""
         self.count += 1
-        attempt = f"{self.host.index:x}{self.key[:4]}{self.count:06x}"
+        attempt = f"{self.host.index:x}{self.key[:4]}{self.number:04x}{self.count:06x}"
         sent = time.time()
         status = None
         try:
